--- /dev/null
+++ b/src/balance.cpp
@@ -0,0 +1,613 @@
+// Every decision of kelplb. The interface is include/kelplb/balancer.hpp.
+//
+// The path of a request: on(RequestArrived) takes it and sets its timer; place() looks for room (admission)
+// and pick() for a server: one whose backoff is over gets it as half-open trial, else of two live ones drawn
+// the one with fewer of our outstanding requests; dispatch() sends it, to run to the client's deadline at the
+// longest. If nobody may have it now it is held briefly. on(AttemptEnded) books the outcome in the server's
+// window (judge(): removal, return) and places the request again or answers it. finish() is the only final
+// answer, may_send() and may_refuse() the only gates: nothing is sent or refused without passing them.
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <map>
+#include <unordered_map>
+
+#include "kelplb/balancer.hpp"
+#include "random.hpp"
+#include "settings.hpp"
+
+namespace kelplb {
+
+namespace {
+
+// The mechanism's own figures: io.l5d.successRate as its authors demonstrated it.
+constexpr int kWindow = 20;
+constexpr double kThreshold = 0.9;
+constexpr Millis kBackoff = 10000;
+
+constexpr Millis kReuse = 4000;  // a connection not expected to be used again within this is closed
+constexpr double kEasy = 0.97, kHopeless = 0.7;  // probes are sent while a share between comes in time
+constexpr std::uint32_t kToldPart = 16;          // one in so many peers is told of what failed or came late
+constexpr int kAskRounds = 2;                    // of two servers each
+// Retry budget: a fifth more attempts than requests in the long run, and this many at a stretch.
+constexpr double kRetryShare = 0.2, kRetryBurst = 10;
+// Admission: attempts out are kept to what brings the mean answer in at this share of its aim: more makes the
+// slower answers late, less leaves servers idle. It starts without a bound worth the name.
+constexpr double kAimShare = 0.55, kRoomAtStart = 1000, kRoomGain = 0.5;
+constexpr double kFeed = 0.5;      // of the multiple that fells a cold server; the rest is for chance
+constexpr double kCrowded = 0.35;  // answers take this share of the aim: well above an idle pool
+constexpr Millis kCrowdMemory = 5000;
+constexpr double kFloor = 4;  // attempts at a server by all sidecars together that admission always leaves
+constexpr double kHold = 1.0 / 16;  // of the aim: what cannot go out by then had better be tried anew
+// The part of the room that is there for every class, however little its worth, and all that repeats get: a
+// repeat's aim has been running since its first try.
+constexpr double kCommonRoom = 0.6;
+constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
+
+bool proves_never_ran(Outcome o) {
+    return o == Outcome::saturated || o == Outcome::refused_connection || o == Outcome::superseded;
+}
+
+// A running mean in which about the last half window of samples counts.
+void smooth(double& mean, double sample) { mean += (sample - mean) * 2 / kWindow; }
+
+enum class Standing { live, removed, trial };
+
+struct Server {
+    ServerInfo info;
+    bool listed = true;
+    int outstanding = 0;
+    Standing standing = Standing::live;
+    std::uint32_t window = 0;  // a bit for each of the last outcomes, set for success
+    int filled = 0;            // of them
+    Millis backoff_until = 0;
+    double pace = 0;       // its answers' time against their aim, of late
+    double suspicion = 0;  // decayed count of failed and late attempts, ours and those we were told of
+    Millis suspected_at = 0;
+    std::vector<RequestId> askers;  // requests that await a probe of it
+};
+
+struct Attempt {
+    ServerId server = 0;
+    ZoneId zone = 0;
+    std::uint32_t cell = 0;
+    Millis sent_at = 0;
+    bool out = true;
+    bool may_have_run = true;
+    bool trial = false;
+};
+
+struct Request {
+    RequestId id = 0;
+    RequestClass kind;
+    // The client's. Not the aim: giving up there makes clients repeat what a server is still working on,
+    // while a late answer, worth as little, keeps them quiet.
+    Millis deadline = 0;
+    bool repeat = false;
+    bool ended = false;
+    bool streaming = false;
+    bool waiting = false;     // has its hold timer
+    Millis hold_until = 0;    // what waits for room is refused after this
+    int asked = 0, asks = 0;  // probes that it awaits, and rounds of them so far
+    std::vector<Attempt> attempts;
+
+    bool any_out() const {
+        return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
+    }
+    const Attempt* first_possible_run() const {
+        for (const Attempt& a : attempts)
+            if (a.may_have_run) return &a;
+        return nullptr;
+    }
+    bool tried(ServerId server) const {
+        return std::any_of(attempts.begin(), attempts.end(),
+                           [&](const Attempt& a) { return a.server == server; });
+    }
+};
+
+}  // namespace
+
+struct Balancer::Impl {
+    Impl(Settings s, std::uint64_t seed) : settings(std::move(s)), random(seed) {
+        validate(settings);
+        for (const RequestClass& c : settings.classes) top_worth = std::max(top_worth, c.worth);
+        if (top_worth == 0) top_worth = 1;
+    }
+
+    Settings settings;
+    Random random;
+    Millis now = 0;
+    std::vector<Action>* actions = nullptr;
+    std::map<ServerId, Server> servers;
+    std::unordered_map<RequestId, Request> requests;                  // never iterated
+    std::unordered_map<TimerToken, std::optional<RequestId>> timers;  // none: the list's
+    TimerToken next_token = 1;
+    Millis resubscribe = kResubscribe;
+    double retry_budget = kRetryBurst;
+    int outstanding = 0;     // attempts
+    Millis arrived_at = -1;  // the last request
+    Millis gap = 0;          // between requests, of late
+    double timely = 1;       // share of attempts answered within their aim, of late
+    double served = 1;       // share of attempts that completed, of late
+    Millis crowded_at = 0;
+    double crowding = 0;  // answers' time against their aim, of late
+    double top_worth = 0;
+    double used = 0;              // the most attempts out of late: a lull must not close the room
+    double room = kRoomAtStart;   // attempts that may be outstanding
+    std::vector<RequestId> held;  // may name finished ones
+    std::vector<RequestId> done;  // ended during this event
+
+    void act(Action action) { actions->push_back(std::move(action)); }
+
+    // ---- The rules: the only gates ----------------------------------------------------------------------
+
+    bool in_scope(const Request& r, const Attempt& a, const ServerInfo& s) const {
+        switch (r.kind.dedup_scope) {
+            case DedupScope::all:
+                return true;
+            case DedupScope::zone:
+                return a.zone == s.zone;
+            case DedupScope::cell:
+                return a.cell == s.cell;
+        }
+        return false;
+    }
+
+    bool may_send(const Request& r, Server& s) {
+        if (r.ended || r.streaming || now >= r.deadline) return false;  // rule 1
+        if (r.attempts.size() >= settings.max_attempts) return false;
+        if (!s.listed || s.info.phase != Phase::on) return false;  // rule 3
+        if (r.any_out() && (!settings.parallel_tries || r.kind.effect == Effect::once)) return false;
+        if (r.kind.effect == Effect::once && r.first_possible_run()) return false;  // rule 2
+        if (r.kind.effect == Effect::by_key)
+            if (const Attempt* first = r.first_possible_run()) {
+                if (now >= first->sent_at + r.kind.dedup_window) return false;
+                for (const Attempt& a : r.attempts)
+                    if (a.may_have_run && !in_scope(r, a, s.info)) return false;
+            }
+        return !is_cold(s) || random.unit() < cold_share(s);  // rule 4
+    }
+
+    bool may_refuse(const Request& r) const {
+        const Attempt* first = r.first_possible_run();
+        if (r.ended || r.streaming) return false;
+        if (!first || r.kind.effect == Effect::repeatable) return true;
+        return r.kind.effect == Effect::by_key && r.kind.dedup_scope == DedupScope::all &&
+               now < first->sent_at + r.kind.dedup_window;
+    }
+
+    // Slow start. A server of age a does at least cold_from of its work, rising evenly to all of it at
+    // warm_within. It is open to that share of our requests, by lot: shares drawn so add up to what it can do
+    // over any number of sidecars, where a floor or a bucket in each would be a flood from a thousand. The
+    // lot shrinks by our share of attempts that complete: a storm of retries is many times what servers do.
+    bool is_cold(const Server& s) const {
+        return settings.warm_within > 0 && s.info.online_since > 0 &&
+               now < s.info.online_since + settings.warm_within;
+    }
+    double cold_share(const Server& s) const {
+        const double age = std::max(0.0, now - s.info.online_since) / settings.warm_within;
+        const double share = settings.cold_from + (1 - settings.cold_from) * std::min(1.0, age);
+        // While its answers come in time, more than it is sure to bear: most warm up sooner.
+        const bool eager = s.pace > 0 && s.pace <= kAimShare;
+        const double feed = eager ? std::max(1.0, kFeed * settings.fall_multiple) : 1;
+        return feed * share * served;
+    }
+
+    // ---- Membership -------------------------------------------------------------------------------------
+
+    void on(const Started&) {
+        if (settings.list_on_request) act(Subscribe{true});
+    }
+
+    void on(const ServerList& list) {
+        if (list.kind == ListKind::failed) {
+            // The list is one service for all: come back later and not in step with the others.
+            set_timer(now + resubscribe * (0.5 + random.unit()), std::nullopt);
+            resubscribe = std::min(resubscribe * 2, kResubscribe * 8);
+            return;
+        }
+        if (list.kind != ListKind::saved) resubscribe = kResubscribe;
+        if (list.kind != ListKind::incremental)
+            for (auto& [id, s] : servers) s.listed = false;
+        for (const ServerInfo& info : list.servers) learn(info);
+        for (auto it = servers.begin(); it != servers.end();)
+            it = !it->second.listed && it->second.outstanding == 0 ? servers.erase(it) : std::next(it);
+        release_held();
+    }
+
+    void learn(const ServerInfo& info) {
+        const auto [it, fresh] = servers.try_emplace(info.id);
+        Server& s = it->second;
+        if (fresh || info.online_since > s.info.online_since) {
+            s.standing = Standing::live;  // another process under the same name: its record starts anew
+            s.window = 0, s.filled = 0;
+        }
+        s.info = info;
+        if (!(s.info.units > 0)) s.info.units = 1;  // nonsense: as if unknown
+        s.listed = info.phase != Phase::off;
+    }
+
+    // ---- Verdict: window, backoff, trial ----------------------------------------------------------------
+
+    void judge(Server& s, const Attempt& a, Outcome outcome, bool late) {
+        const bool success = outcome == Outcome::completed && !late;  // past its aim: as good as timed out
+        const bool verdict = outcome != Outcome::recalled && outcome != Outcome::superseded;
+        if (s.standing == Standing::trial && a.trial) {
+            if (!verdict)
+                s.standing = Standing::removed;  // undecided: the next request is the trial
+            else if (success)
+                restore(s);
+            else
+                remove(s);
+            return;
+        }
+        if (!verdict || s.standing != Standing::live) return;
+        s.window = (s.window << 1 | (success ? 1 : 0)) & ((1u << kWindow) - 1);
+        s.filled = std::min(s.filled + 1, kWindow);
+        if (!success && below_threshold(s) && may_remove(late || outcome == Outcome::overdue)) remove(s);
+    }
+
+    // Shared slowness makes every server fail, and removing them all makes it an outage. So a server is held
+    // against the others: 0.9 of their success share, less three standard errors of a window of that share.
+    // While the others don't fail, this is 0.9 and nothing else. A window not yet full is judged as if the
+    // rest were successes: what is certain need not wait, least of all where traffic is thin.
+    bool below_threshold(const Server& s) const {
+        const double level = level_without(s);
+        const double noise = std::sqrt(level * (1 - level) / kWindow);
+        return successes(s) + (kWindow - s.filled) < kWindow * (kThreshold * level - 3 * noise);
+    }
+
+    double level_without(const Server& s) const {
+        double good = 0, all = 0;
+        for (const auto& [id, other] : servers)
+            if (&other != &s && other.standing == Standing::live) {
+                good += successes(other);
+                all += other.filled;
+            }
+        return all > 0 ? good / all : 1;
+    }
+
+    static int successes(const Server& s) { return std::popcount(s.window); }
+
+    // Panic threshold: half of the listed servers stay in the pool, whatever their windows say, and three
+    // quarters if it is for slow answers: in a crowd the slow machines are still needed.
+    bool may_remove(bool slow) const {
+        std::size_t listed = 0, out = 0;
+        for (const auto& [id, s] : servers)
+            if (s.listed) ++listed, out += s.standing != Standing::live;
+        return (slow ? 4 : 2) * (out + 1) <= listed;
+    }
+
+    void remove(Server& s) {
+        if (s.standing == Standing::live) act(Log{"removed from the pool", s.info.id});
+        s.standing = Standing::removed;
+        s.backoff_until = now + kBackoff;
+    }
+
+    void restore(Server& s) {
+        s.standing = Standing::live;
+        s.window = 0, s.filled = 0;
+        act(Log{"restored after a trial", s.info.id});
+    }
+
+    // ---- Pick -------------------------------------------------------------------------------------------
+
+    Server* pick(Request& r) {
+        std::vector<Server*> live, again;
+        for (auto& [id, s] : servers) {
+            const bool due = s.standing == Standing::removed && now >= s.backoff_until;
+            if ((!due && s.standing != Standing::live) || !may_send(r, s)) continue;
+            if (due) return &s;  // half-open: this request is its trial
+            (r.tried(id) ? again : live).push_back(&s);
+        }
+        if (live.empty()) live.swap(again);
+        if (live.empty()) return nullptr;
+        Server* first = draw(live, nullptr);
+        // Where crossing zones costs and the pool is not crowded, one of the two is of our own zone. It wins
+        // ties, and with one request more where our part of the fee exceeds the chance of a late answer: one
+        // more from each of many sidecars is a queue.
+        bool near_first = false;
+        if (settings.fees.cross_zone > 0 && settings.my_zone && crowding <= kCrowded) {
+            std::vector<Server*> near;
+            for (Server* s : live)
+                if (s->info.zone == *settings.my_zone) near.push_back(s);
+            if (!near.empty()) first = draw(near, nullptr), near_first = true;
+        }
+        if (live.size() == 1) return first;
+        Server* second = draw(live, first);
+        const Server &a = *first, &b = *second;
+        const bool nearer = near_first && b.info.zone != *settings.my_zone;
+        const int grace = nearer && our_part() * settings.fees.cross_zone > std::exp(-1 / crowding) ? 1 : 0;
+        const double doubt = suspicion(a) - suspicion(b);
+        if (a.outstanding == 0 && b.outstanding == 0 && std::abs(doubt) < 1 && should_ask(r)) {
+            ++r.asks;
+            for (Server* s : {first, second}) ++r.asked, s->askers.push_back(r.id), act(Probe{s->info.id});
+            return nullptr;
+        }
+        const bool other =
+            b.outstanding + grace < a.outstanding ||
+            (b.outstanding == a.outstanding && (doubt != 0 ? doubt > 0 : !nearer && b.pace < a.pace));
+        return other ? second : first;
+    }
+
+    // // Gossip. A light sidecar meets a bad server too seldom to know it, all together meet it all the time.
+    // So each tells a few peers of what failed or came late, four bytes a time. It only breaks ties between
+    // equal queues and is forgotten within a backoff: lost, false or malformed messages do little harm.
+    double suspicion(const Server& s) const {
+        const double left = s.suspicion * std::exp((s.suspected_at - now) / kBackoff);
+        return left < 0.1 ? 0 : left;  // forgotten: what is left of it must not decide for ever
+    }
+    void suspect(Server& s) { s.suspicion = suspicion(s) + 1, s.suspected_at = now; }
+    void tell_peers(ServerId id) {
+        if (!settings.may_tell || !is_light()) return;
+        std::vector<std::uint8_t> bytes;
+        for (int shift = 24; shift >= 0; shift -= 8) bytes.push_back(static_cast<std::uint8_t>(id >> shift));
+        for (std::uint32_t i = 0; i < settings.siblings / kToldPart; ++i) {
+            const auto peer = static_cast<std::uint32_t>(random.below(settings.siblings));
+            if (peer != settings.my_number) act(TellPeer{peer, bytes});
+        }
+    }
+    void on(const PeerMessage& e) {
+        ServerId id = 0;
+        for (const std::uint8_t byte : e.bytes) id = id << 8 | byte;
+        const auto at = servers.find(id);
+        if (e.bytes.size() == 4 && at != servers.end()) suspect(at->second);
+    }
+
+    // Own queues tell a light sidecar nothing: it asks a server again only after seconds.
+    bool is_light() const { return gap * static_cast<double>(servers.size()) > kReuse; }
+
+    // While some attempts fail or come late, a tie between two empty queues of ours is broken by a race: both
+    // servers are probed, and the first to answer gets the request: who is dead, cut off or crowded does not.
+    // In a collapsed pool no probe is answered in time, and they would only cost.
+    bool should_ask(const Request& r) const {
+        const bool doubtful = timely < kEasy && timely > kHopeless;
+        return settings.may_probe && is_light() && doubtful && r.asks < kAskRounds;
+    }
+
+    void on(const ProbeEnded& e) {
+        const auto at = servers.find(e.server);
+        if (at == servers.end() || at->second.askers.empty()) return;
+        const auto it = requests.find(at->second.askers.front());
+        at->second.askers.erase(at->second.askers.begin());
+        if (it == requests.end() || it->second.asked == 0) return;  // it has gone meanwhile
+        Request& r = it->second;
+        const bool fit = e.outcome == Outcome::completed && at->second.standing == Standing::live;
+        if (fit && may_send(r, at->second)) {
+            r.asked = 0;
+            dispatch(r, at->second);
+        } else if (--r.asked == 0 && !r.ended && !r.any_out()) {
+            place(r);
+        }
+    }
+
+    // At random, each with the chance of its registered size: where every queue of ours is empty, the draw
+    // alone decides, and equal parts would drown the small servers.
+    Server* draw(const std::vector<Server*>& from, const Server* except) {
+        double total = 0;
+        for (const Server* s : from) total += s == except ? 0 : s->info.units;
+        double left = random.unit() * total;
+        Server* drawn = nullptr;
+        for (Server* s : from)
+            if (s != except && (!drawn || left >= 0)) drawn = s, left -= s->info.units;
+        return drawn;
+    }
+
+    // ---- Admission --------------------------------------------------------------------------------------
+
+    // Little's law: a bound on what is out bounds the time it takes. The bound follows how long answers take
+    // against their aim; errors say nothing about crowding, and it only grows while it is used.
+    void adapt_room(Server& s, const Request& r, const AttemptEnded& e) {
+        double ratio = 1.5;
+        if (e.outcome == Outcome::completed)
+            ratio = std::min(1.5, e.duration / r.kind.aim);
+        else if (e.outcome != Outcome::overdue && e.outcome != Outcome::saturated)
+            return;
+        smooth(s.pace, ratio);
+        if (is_cold(s)) return;  // slow by nature: it says nothing of the pool
+        // Smoothed: one slow answer must not close a light sidecar, which has few others to set against it.
+        // But good news counts for more the longer none came: one that sheds most of its requests gets
+        // little.
+        const double news = ratio < crowding ? 1 - std::exp((crowded_at - now) / kCrowdMemory) : 0;
+        crowding += (ratio - crowding) * std::max(2.0 / kWindow, news);
+        crowded_at = now;
+        smooth(used, outstanding);
+        used = std::max<double>(used, outstanding);
+        const double step = kRoomGain * (kAimShare - crowding);
+        if (step < 0)
+            room = std::max(room_floor(), std::min(room, used + 1.0) + step);
+        else if (outstanding + 1 > room / 2)
+            room = std::min(kRoomAtStart, room + step);
+    }
+
+    // Where slow service alone takes that long, refusing more does not help and idles the servers: one
+    // attempt for each server is always allowed, and with many sidecars our part of kFloor.
+    double room_floor() const { return our_part() * static_cast<double>(servers.size()); }
+    double our_part() const { return std::min(1.0, kFloor / std::max(1u, settings.siblings)); }
+
+    // Worth: the class worth most may fill the room, the others leave it part of theirs.
+    // Less than one place is given by lot: a light sidecar, with one request at a time, sheds by it.
+    bool has_room(const Request& r) {
+        const double part = kCommonRoom + (1 - kCommonRoom) * r.kind.worth / top_worth * (r.repeat ? 0 : 1);
+        return outstanding < room * part && (room * part >= 1 || random.unit() < room * part);
+    }
+
+    void release_held() {
+        if (held.empty() || outstanding >= room) return;
+        std::vector<RequestId> waiting;
+        waiting.swap(held);
+        std::erase_if(waiting, [&](RequestId id) {
+            const auto it = requests.find(id);
+            return it == requests.end() || it->second.ended || it->second.any_out();
+        });
+        // What came last goes first: under a crowd the oldest has least use left.
+        for (auto id = waiting.rbegin(); id != waiting.rend(); ++id) place(requests.at(*id));
+    }
+
+    // ---- A request --------------------------------------------------------------------------------------
+
+    void on(const RequestArrived& e) {
+        const auto [it, fresh] = requests.try_emplace(e.id);
+        if (!fresh) return;
+        Request& r = it->second;
+        r.id = e.id;
+        r.repeat = e.repeat;
+        if (e.class_index < settings.classes.size()) {
+            r.kind = settings.classes[e.class_index];
+        } else {  // unknown: what we know least about is handled with most care
+            r.kind.effect = Effect::once;
+            r.kind.aim = std::max(1.0, e.time_left);
+        }
+        r.kind.aim += r.kind.aim_stretch * std::max(0.0, e.effort);
+        r.deadline = now + std::max(0.0, e.time_left);
+        if (arrived_at >= 0) smooth(gap, now - arrived_at);
+        arrived_at = now;
+        retry_budget = std::min(retry_budget + kRetryShare, kRetryBurst);
+        r.hold_until = std::min(r.deadline, now + r.kind.aim * kHold);
+        set_timer(r.deadline, r.id);
+        place(r);
+    }
+
+    void place(Request& r) {
+        if (has_room(r)) {
+            if (Server* s = pick(r)) return dispatch(r, *s);
+            if (r.asked > 0) return;  // the probes' answers place it
+        }
+        // Nobody may have it now. If one may later, hold it: at hold_until the timer answers.
+        if (r.any_out()) return;
+        if (now >= r.hold_until || r.attempts.size() >= settings.max_attempts ||
+            (r.first_possible_run() && r.kind.effect == Effect::once))
+            return finish(r);
+        held.push_back(r.id);
+        if (r.waiting) return;
+        r.waiting = true;
+        set_timer(r.hold_until, r.id);
+    }
+
+    void dispatch(Request& r, Server& s) {
+        const bool trial = s.standing == Standing::removed;
+        if (trial) s.standing = Standing::trial;
+        if (!r.attempts.empty()) retry_budget -= 1;
+        ++s.outstanding;
+        ++outstanding;
+        r.asked = 0, r.asks = 0;
+        r.attempts.push_back({s.info.id, s.info.zone, s.info.cell, now, true, true, trial});
+        act(Send{r.id, s.info.id, r.deadline});
+    }
+
+    void on(const FirstByte& e) {
+        const auto it = requests.find(e.id);
+        if (it != requests.end() && e.attempt < it->second.attempts.size()) it->second.streaming = true;
+    }
+
+    void book(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
+        --s.outstanding;
+        adapt_room(s, r, e);
+        smooth(served, e.outcome == Outcome::completed ? 1.0 : 0.0);
+        const bool good = e.outcome == Outcome::completed && e.duration <= r.kind.aim;
+        smooth(timely, good ? 1.0 : 0.0);
+        if (!good && e.outcome != Outcome::recalled && e.outcome != Outcome::superseded && is_light())
+            suspect(s), tell_peers(s.info.id);
+        judge(s, a, e.outcome, e.duration > r.kind.aim && !is_cold(s));
+    }
+
+    void on(const AttemptEnded& e) {
+        const auto it = requests.find(e.id);
+        if (it == requests.end() || e.attempt >= it->second.attempts.size()) return;
+        Request& r = it->second;
+        Attempt& a = r.attempts[e.attempt];
+        if (!a.out) return;
+        a.out = false;
+        --outstanding;
+        a.may_have_run = !proves_never_ran(e.outcome);
+        if (const auto at = servers.find(a.server); at != servers.end()) {
+            book(at->second, r, a, e);
+            // Idle connections of many sidecars fill a server's table: it slows down and then turns new ones
+            // away. A light sidecar asks a server again so late that opening one anew costs less.
+            if (at->second.outstanding == 0 && is_light()) act(CloseIdle{a.server});
+            if (!at->second.listed && at->second.outstanding == 0) servers.erase(at);
+        }
+        if (e.request_ended) r.ended = true;
+        if (r.ended) done.push_back(r.id);
+        // Without a retry budget each request asks a crowded pool as often as the limits allow.
+        if (now >= r.deadline || (!r.any_out() && retry_budget < 1))
+            finish(r);
+        else if (!r.ended && !r.any_out())
+            place(r);
+        release_held();
+    }
+
+    void on(const ClientGone& e) {
+        const auto it = requests.find(e.id);
+        if (it == requests.end()) return;
+        cancel_all(it->second);
+        it->second.ended = true;
+        done.push_back(e.id);
+    }
+
+    // The only final answer: a refusal where that is true, else a failure.
+    void finish(Request& r) {
+        if (r.ended || r.streaming) return;
+        cancel_all(r);
+        if (may_refuse(r))
+            act(Refuse{r.id, 0});
+        else
+            act(GiveUp{r.id});
+        r.ended = true;
+        done.push_back(r.id);
+    }
+
+    void cancel_all(const Request& r) {
+        for (std::uint32_t i = 0; settings.may_cancel && i < r.attempts.size(); ++i)
+            if (r.attempts[i].out) act(Cancel{r.id, i});
+    }
+
+    // After each event: what has its answer and nothing out leaves no trace.
+    void forget_done() {
+        for (const RequestId id : done) {
+            const auto it = requests.find(id);
+            if (it != requests.end() && it->second.ended && !it->second.any_out()) requests.erase(it);
+        }
+        done.clear();
+    }
+
+    // ---- Timers and the rest ----------------------------------------------------------------------------
+
+    void set_timer(Millis at, std::optional<RequestId> request) {
+        timers[next_token] = request;
+        act(SetTimer{at, next_token++});
+    }
+
+    void on(const TimerFired& e) {
+        const auto timer = timers.find(e.token);
+        if (timer == timers.end()) return;
+        const std::optional<RequestId> id = timer->second;
+        timers.erase(timer);
+        if (!id) return act(Subscribe{true});
+        const auto it = requests.find(*id);
+        if (it == requests.end() || it->second.ended) return;
+        if (now >= it->second.deadline)
+            finish(it->second);
+        else if (!it->second.any_out())
+            place(it->second);
+    }
+};
+
+Balancer::Balancer(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+void Balancer::handle(Millis now, const Event& event, std::vector<Action>& actions) {
+    impl_->now = std::max(impl_->now, now);
+    impl_->actions = &actions;
+    std::visit([this](const auto& e) { impl_->on(e); }, event);
+    impl_->forget_done();
+}
+
+Balancer::Held Balancer::held() const {
+    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size()};
+}
+
+}  // namespace kelplb
--- /dev/null
+++ b/src/simhost.cpp
@@ -0,0 +1,9 @@
+// The process that the simulator starts: the wire on standard input and output.
+#include <iostream>
+
+#include "wire.hpp"
+
+int main() {
+    std::ios::sync_with_stdio(false);
+    return kelplb::wire::Host(std::cin, std::cout, std::cerr).run();
+}
--- /dev/null
+++ b/src/wire.cpp
@@ -0,0 +1,499 @@
+#include "wire.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <istream>
+#include <ostream>
+
+namespace kelplb::wire {
+
+namespace {
+
+template <class T>
+bool parse(std::string_view text, T& value) {
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end == text.data() + text.size();
+}
+
+template <class T>
+using Names = std::vector<std::pair<std::string_view, T>>;
+
+template <class T>
+T named(const Message& message, std::string_view field, const Names<T>& names) {
+    const std::string_view text = message.text(field);
+    for (const auto& [name, value] : names)
+        if (name == text) return value;
+    message.fail(field, "is not a known word");
+}
+
+const Names<Phase> phases{{"on", Phase::on}, {"fading", Phase::fading}, {"off", Phase::off}};
+const Names<ListKind> list_kinds{{"INCREMENTAL", ListKind::incremental},
+                                 {"FULL", ListKind::full},
+                                 {"SAVED", ListKind::saved},
+                                 {"FAILED", ListKind::failed}};
+const Names<Effect> effects{
+    {"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}};
+const Names<DedupScope> scopes{
+    {"all", DedupScope::all}, {"zone", DedupScope::zone}, {"cell", DedupScope::cell}};
+const Names<Outcome> outcomes{{"completed", Outcome::completed},
+                              {"errored", Outcome::errored},
+                              {"saturated", Outcome::saturated},
+                              {"overdue", Outcome::overdue},
+                              {"refused_conn", Outcome::refused_connection},
+                              {"severed", Outcome::severed},
+                              {"recalled", Outcome::recalled},
+                              {"superseded", Outcome::superseded}};
+
+std::vector<std::string> split(std::string_view list) {
+    std::vector<std::string> items;
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        items.emplace_back(list.substr(0, comma));
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return items;
+}
+
+void add_number(std::string& line, double value) {
+    char buffer[40];
+    const auto end = std::to_chars(buffer, buffer + sizeof buffer, value, std::chars_format::fixed, 3).ptr;
+    line.append(buffer, end);
+}
+
+void add_hex(std::string& line, const std::vector<std::uint8_t>& bytes) {
+    if (bytes.empty()) line += '-';
+    for (const std::uint8_t byte : bytes) {
+        line += "0123456789abcdef"[byte >> 4];
+        line += "0123456789abcdef"[byte & 15];
+    }
+}
+
+template <class... Ts>
+struct Overloaded : Ts... {
+    using Ts::operator()...;
+};
+template <class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+}  // namespace
+
+// ---- Codec ----------------------------------------------------------------------------------------------
+
+Message::Message(std::string_view line, std::size_t number) : line_(number) {
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    const auto space = line.find(' ');
+    kind_ = line.substr(0, space);
+    if (kind_.empty()) throw WireError("line " + std::to_string(line_) + ": empty line");
+    std::string_view rest = space == std::string_view::npos ? std::string_view() : line.substr(space + 1);
+    while (!rest.empty()) {
+        const auto gap = rest.find(' ');
+        const std::string_view pair = rest.substr(0, gap);
+        rest = gap == std::string_view::npos ? std::string_view() : rest.substr(gap + 1);
+        const auto equals = pair.find('=');
+        if (equals == std::string_view::npos || equals == 0) fail(pair, "is not name=value");
+        fields_.emplace_back(pair.substr(0, equals), pair.substr(equals + 1));
+    }
+}
+
+void Message::fail(std::string_view field, std::string_view what) const {
+    throw WireError("line " + std::to_string(line_) + ": " + std::string(kind_) + ": field '" +
+                    std::string(field) + "' " + std::string(what));
+}
+
+const std::string_view* Message::find(std::string_view field) const {
+    for (const auto& [name, value] : fields_)
+        if (name == field) return &value;
+    return nullptr;
+}
+
+std::string_view Message::text(std::string_view field) const {
+    const auto* value = find(field);
+    if (!value) fail(field, "is missing");
+    return *value;
+}
+
+double Message::number(std::string_view field) const {
+    double value = 0;
+    if (!parse(text(field), value) || !std::isfinite(value)) fail(field, "is not a number");
+    return value;
+}
+
+double Message::number_or(std::string_view field, double fallback) const {
+    return has(field) ? number(field) : fallback;
+}
+
+std::uint64_t Message::integer(std::string_view field) const {
+    std::uint64_t value = 0;
+    if (!parse(text(field), value)) fail(field, "is not a whole number");
+    return value;
+}
+
+std::uint64_t Message::integer_or(std::string_view field, std::uint64_t fallback) const {
+    return has(field) ? integer(field) : fallback;
+}
+
+bool Message::flag_or(std::string_view field, bool fallback) const {
+    if (!has(field)) return fallback;
+    const std::string_view value = text(field);
+    if (value == "1" || value == "true") return true;
+    if (value == "0" || value == "false") return false;
+    fail(field, "is not a truth value");
+}
+
+ZoneId Site::zone(std::string_view name) {
+    const auto at = std::find(zones.begin(), zones.end(), name);
+    const auto id = static_cast<ZoneId>(at - zones.begin());
+    if (at == zones.end()) zones.emplace_back(name);
+    return id;
+}
+
+Site read_site(const Message& start) {
+    Site site;
+    Settings& s = site.settings;
+    if (start.has("azs")) site.zones = split(start.text("azs"));
+    if (start.has("my-zone")) s.my_zone = site.zone(start.text("my-zone"));
+    for (std::uint64_t i = 0, count = start.integer("classes.count"); i < count; ++i) {
+        const std::string prefix = "classes." + std::to_string(i) + ".";
+        RequestClass c;
+        c.effect = named(start, prefix + "effect", effects);
+        if (start.has(prefix + "dedup-scope")) c.dedup_scope = named(start, prefix + "dedup-scope", scopes);
+        c.dedup_window = start.number_or(prefix + "dedup-window-ms", c.dedup_window);
+        c.aim = start.number(prefix + "on-time-ms");
+        c.aim_stretch = start.number_or(prefix + "aim-stretch", c.aim_stretch);
+        c.worth = start.number_or(prefix + "credit", c.worth);
+        s.classes.push_back(c);
+        site.classes.emplace_back(start.text(prefix + "name"));
+    }
+    if (start.has("membership-mode")) s.list_on_request = start.text("membership-mode") == "on_request";
+    s.siblings = static_cast<std::uint32_t>(start.integer_or("siblings", s.siblings));
+    s.max_attempts = static_cast<std::uint32_t>(start.integer_or("limits.max-attempts", s.max_attempts));
+    s.parallel_tries = start.flag_or("limits.parallel-tries", s.parallel_tries);
+    s.may_cancel = start.flag_or("limits.may-cancel", false);
+    s.may_probe = start.flag_or("limits.may-probe", false);
+    s.may_tell = start.flag_or("limits.may-tell", false);
+    s.my_number = static_cast<std::uint32_t>(start.integer_or("my-number", 0));
+    s.cold_from = start.number_or("rules.cold-from", s.cold_from);
+    s.fall_multiple = start.number_or("rules.fall-multiple", s.fall_multiple);
+    s.warm_within = start.number_or("rules.warm-within-ms", s.warm_within);
+    s.fees.cross_zone = start.number_or("fees.cross-zone", s.fees.cross_zone);
+    return site;
+}
+
+Outcome read_outcome(const Message& message) { return named(message, "rc", outcomes); }
+
+std::vector<std::uint8_t> read_bytes(const Message& message, std::string_view field) {
+    std::vector<std::uint8_t> bytes;
+    const std::string_view hex = message.text(field);
+    if (hex == "-") return bytes;
+    if (hex.size() % 2) message.fail(field, "is not hex");
+    for (std::size_t i = 0; i < hex.size(); i += 2) {
+        std::uint8_t byte = 0;
+        const auto [end, error] = std::from_chars(hex.data() + i, hex.data() + i + 2, byte, 16);
+        if (error != std::errc() || end != hex.data() + i + 2) message.fail(field, "is not hex");
+        bytes.push_back(byte);
+    }
+    return bytes;
+}
+
+// ---- Host -----------------------------------------------------------------------------------------------
+
+// One sidecar: its balancer and the names behind the integers the balancer sees. A request's name is kept
+// until it has ended and its attempts have; a server's while it is listed or an attempt on it is out.
+struct Host::Instance {
+    struct Request {
+        std::string name;
+        std::uint32_t out = 0;
+        bool ended = false;
+    };
+    struct Server {
+        std::string name;
+        std::uint32_t out = 0;
+        bool listed = false;
+    };
+
+    Instance(std::string name_, Site site_, std::uint64_t seed)
+        : name(std::move(name_)), site(std::move(site_)), balancer(site.settings, seed) {}
+
+    ServerId server(const std::string& server_name) {
+        const auto known = server_ids.find(server_name);
+        if (known != server_ids.end()) return known->second;
+        // FNV-1a of the name: the same number at every sidecar, which peers need to understand one another.
+        ServerId id = 2166136261u;
+        for (const char c : server_name) id = (id ^ static_cast<unsigned char>(c)) * 16777619u;
+        while (servers.count(id)) ++id;  // a clash: peers then mean another server, which costs a tie
+        server_ids[server_name] = id;
+        servers[id].name = server_name;
+        return id;
+    }
+
+    void drop_request(RequestId id) {
+        const auto at = requests.find(id);
+        if (at == requests.end() || !at->second.ended || at->second.out > 0) return;
+        request_ids.erase(at->second.name);
+        requests.erase(at);
+    }
+    void end_request(RequestId id) {
+        if (const auto at = requests.find(id); at != requests.end()) at->second.ended = true;
+        drop_request(id);
+    }
+    void drop_server(ServerId id) {
+        const auto at = servers.find(id);
+        if (at == servers.end() || at->second.listed || at->second.out > 0) return;
+        server_ids.erase(at->second.name);
+        servers.erase(at);
+    }
+
+    std::string name;
+    Site site;
+    Balancer balancer;
+    std::unordered_map<std::string, RequestId> request_ids;
+    std::unordered_map<RequestId, Request> requests;
+    std::unordered_map<std::string, ServerId> server_ids;
+    std::map<ServerId, Server> servers;
+    RequestId next_request = 1;
+};
+
+Host::Host(std::istream& in, std::ostream& out, std::ostream& err) : in_(in), out_(out), err_(err) {}
+Host::~Host() = default;
+
+bool Host::next_line(std::string& line) {
+    if (!std::getline(in_, line)) return false;
+    ++line_;
+    return true;
+}
+
+int Host::run() {
+    try {
+        for (std::string line; next_line(line);) {
+            const Message mark(line, line_);
+            if (mark.kind() != "MARK") mark.fail(mark.kind(), "stands where MARK is due");
+            batch(mark);
+        }
+    } catch (const WireError& error) {
+        err_ << "kelplb_simhost: " << error.what() << '\n';
+        return 2;
+    }
+    return 0;
+}
+
+void Host::batch(const Message& mark) {
+    now_ = mark.number("now-ms");
+    const std::uint64_t frame = mark.integer("frame");
+    reply_.clear();
+    for (std::string line;;) {
+        if (!next_line(line))
+            throw WireError("line " + std::to_string(line_) + ": MARK: input ends before 'OVER_TO_YOU'");
+        const Message message(line, line_);
+        if (message.kind() == "OVER_TO_YOU") break;
+        event(message);
+    }
+    out_ << reply_ << "END frame=" << frame << '\n' << std::flush;
+}
+
+void Host::event(const Message& message) {
+    const std::string_view kind = message.kind();
+    if (kind == "CATALOG") return catalog(message);
+    if (kind == "START") return start(message);
+    static const std::vector<std::string_view> known{"POWER_OFF",     "PEERS_KNOWN", "ACCEPT",
+                                                     "HEAD_RECEIVED", "VERDICT",     "EXPIRED",
+                                                     "TICK_DUE",      "HEALTH",      "MEMO"};
+    if (std::find(known.begin(), known.end(), kind) == known.end()) {
+        if (std::find(unknown_kinds_.begin(), unknown_kinds_.end(), kind) == unknown_kinds_.end()) {
+            unknown_kinds_.emplace_back(kind);
+            err_ << "kelplb_simhost: line " << line_ << ": unknown event " << kind << " skipped\n";
+        }
+        return;
+    }
+    const auto at = instances_.find(message.text("who"));
+    if (at == instances_.end()) message.fail("who", "names an instance that is not running");
+    Instance& instance = at->second;
+    if (kind == "POWER_OFF") {
+        instances_.erase(at);
+    } else if (kind == "PEERS_KNOWN") {
+        list(instance, message);
+    } else if (kind == "ACCEPT") {
+        RequestArrived arrived;
+        arrived.time_left = message.number("time-left-ms");
+        arrived.effort = message.number_or("effort-ms", 0);
+        arrived.repeat = message.flag_or("repeat", false);
+        const auto& classes = instance.site.classes;
+        const auto grade = std::find(classes.begin(), classes.end(), message.text("grade"));
+        arrived.class_index = static_cast<std::uint32_t>(grade - classes.begin());
+        const std::string rid(message.text("rid"));
+        const auto [known_id, fresh] = instance.request_ids.try_emplace(rid, instance.next_request);
+        if (!fresh) message.fail("rid", "was given before");
+        arrived.id = known_id->second;
+        instance.requests[instance.next_request++].name = rid;
+        give(instance, arrived);
+    } else if (kind == "HEAD_RECEIVED" || kind == "EXPIRED") {
+        const auto request = instance.request_ids.find(std::string(message.text("rid")));
+        const bool gone = kind == "EXPIRED";
+        const auto hop = gone ? 0 : static_cast<std::uint32_t>(message.integer("hop"));
+        if (request == instance.request_ids.end()) return;  // the instance has ended it meanwhile
+        const RequestId id = request->second;
+        give(instance, gone ? Event(ClientGone{id}) : Event(FirstByte{id, hop}));
+        if (gone) instance.end_request(id);
+    } else if (kind == "VERDICT") {
+        attempt_ended(instance, message);
+    } else if (kind == "TICK_DUE") {
+        give(instance, TimerFired{message.integer("nonce")});
+    } else if (kind == "HEALTH") {
+        const auto server = instance.server_ids.find(std::string(message.text("server")));
+        const ProbeEnded probed{server == instance.server_ids.end() ? 0 : server->second,
+                                read_outcome(message), message.number_or("duration-ms", 0)};
+        if (server != instance.server_ids.end()) give(instance, probed);
+    } else {
+        give(instance, PeerMessage{static_cast<std::uint32_t>(message.integer("src-peer")),
+                                   read_bytes(message, "msg")});
+    }
+}
+
+void Host::catalog(const Message& message) {
+    const std::uint64_t ref = message.integer("ref");
+    if (ref >= catalogs_.size()) message.fail("ref", "is out of range");
+    const std::uint64_t count = message.integer("items");
+    std::vector<CatalogEntry> entries;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        std::string line;
+        if (!next_line(line))
+            throw WireError("line " + std::to_string(line_) + ": CATALOG: input ends within 'items'");
+        const Message entry(line, line_);
+        if (entry.kind() != "M") message.fail("items", "does not match the entries that follow");
+        CatalogEntry e;
+        e.server = entry.text("server");
+        if (entry.has("rack-zone")) e.zone = entry.text("rack-zone");
+        e.cell = static_cast<std::uint32_t>(entry.integer_or("pod", 0));
+        e.phase = named(entry, "phase", phases);
+        e.online_since = entry.number_or("online-since-ms", 0);
+        e.units = entry.number_or("units", 1);
+        entries.push_back(std::move(e));
+    }
+    catalogs_[ref] = std::move(entries);
+}
+
+void Host::start(const Message& message) {
+    const std::string name(message.text("who"));
+    const std::uint64_t seed = message.integer("entropy");
+    instances_.erase(name);
+    try {
+        const auto at = instances_.try_emplace(name, name, read_site(message), seed).first;
+        give(at->second, Started{});
+    } catch (const std::invalid_argument& error) {
+        reply_ += "FAULT who=" + name + " words=" + error.what() + "\n";
+    }
+}
+
+void Host::list(Instance& instance, const Message& message) {
+    ServerList list{named(message, "mode", list_kinds), {}};
+    if (list.kind != ListKind::failed) {
+        const std::uint64_t ref = message.integer("ref");
+        if (ref >= catalogs_.size()) message.fail("ref", "is out of range");
+        if (list.kind != ListKind::incremental)
+            for (auto& [id, server] : instance.servers) server.listed = false;
+        for (const CatalogEntry& e : catalogs_[ref]) {
+            const ServerId id = instance.server(e.server);
+            instance.servers[id].listed = e.phase != Phase::off;
+            list.servers.push_back(
+                {id, instance.site.zone(e.zone), e.cell, e.phase, e.online_since, e.units});
+        }
+    }
+    give(instance, list);
+    if (list.kind == ListKind::failed) return;
+    std::vector<ServerId> ids;
+    for (const auto& [id, server] : instance.servers) ids.push_back(id);
+    for (const ServerId id : ids) instance.drop_server(id);
+}
+
+void Host::attempt_ended(Instance& instance, const Message& message) {
+    AttemptEnded ended;
+    ended.attempt = static_cast<std::uint32_t>(message.integer("hop"));
+    ended.outcome = read_outcome(message);
+    ended.duration = message.number_or("duration-ms", 0);
+    ended.request_ended = message.flag_or("terminal", false);
+    const auto server = instance.server_ids.find(std::string(message.text("server")));
+    const auto request = instance.request_ids.find(std::string(message.text("rid")));
+    if (request == instance.request_ids.end()) return;
+    ended.id = request->second;
+    Instance::Request& held = instance.requests.at(ended.id);
+    if (held.out > 0) --held.out;
+    if (ended.request_ended) held.ended = true;
+    give(instance, ended);
+    instance.drop_request(ended.id);
+    if (server == instance.server_ids.end()) return;
+    const ServerId id = server->second;
+    if (Instance::Server& s = instance.servers.at(id); s.out > 0) --s.out;
+    instance.drop_server(id);
+}
+
+void Host::give(Instance& instance, const Event& event) {
+    actions_.clear();
+    try {
+        instance.balancer.handle(now_, event, actions_);
+    } catch (const std::exception& error) {
+        reply_ += "FAULT who=" + instance.name + " words=" + error.what() + "\n";
+        return;
+    }
+    for (const Action& action : actions_) put(instance, action);
+}
+
+void Host::put(Instance& instance, const Action& action) {
+    const auto head = [&](std::string_view kind) { (reply_ += kind) += " who=" + instance.name; };
+    const auto request = [&](std::string_view kind, RequestId id) {
+        head(kind);
+        reply_ += " rid=" + instance.requests.at(id).name;
+    };
+    const auto server = [&](ServerId id) { reply_ += " server=" + instance.servers.at(id).name; };
+    const auto time = [&](std::string_view field, Millis value) {
+        (reply_ += field) += '=';
+        add_number(reply_, value);
+    };
+    std::visit(Overloaded{[&](const Send& a) {
+                              request("DISPATCH", a.id);
+                              server(a.server);
+                              time(" try-until-ms", a.try_until);
+                              ++instance.requests.at(a.id).out;
+                              ++instance.servers.at(a.server).out;
+                          },
+                          [&](const Cancel& a) {
+                              request("ABANDON", a.id);
+                              reply_ += " hop=" + std::to_string(a.attempt);
+                          },
+                          [&](const Refuse& a) {
+                              request("DECLINE", a.id);
+                              if (a.retry_in > 0) time(" retry-in-ms", a.retry_in);
+                              instance.end_request(a.id);
+                          },
+                          [&](const GiveUp& a) {
+                              request("GIVE_UP", a.id);
+                              instance.end_request(a.id);
+                          },
+                          [&](const SetTimer& a) {
+                              head("AFTER");
+                              time(" at-ms", a.at);
+                              reply_ += " nonce=" + std::to_string(a.token);
+                          },
+                          [&](const Probe& a) { head("ASK_LOAD"), server(a.server); },
+                          [&](const CloseIdle& a) { head("SHUT_IDLE"), server(a.server); },
+                          [&](const TellPeer& a) {
+                              head("WRITE_PEER");
+                              reply_ +=
+                                  " dst=" + (a.to ? std::to_string(*a.to) : std::string("all")) + " msg=";
+                              add_hex(reply_, a.bytes);
+                          },
+                          [&](const Subscribe& a) {
+                              head("SUBSCRIBE");
+                              reply_ += a.active ? " active=1" : " active=0";
+                          },
+                          [&](const FetchList&) { head("READ_LIST"); },
+                          [&](const Log& a) {
+                              head("PRINT");
+                              reply_ += " words=";
+                              if (a.server) reply_ += instance.servers.at(*a.server).name + " ";
+                              for (const char c : a.text) reply_ += c == '\n' || c == '\r' ? ' ' : c;
+                          }},
+               action);
+    reply_ += '\n';
+}
+
+}  // namespace kelplb::wire
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,307 @@
+// What many sidecars do together: several balancers are given events by hand; no server is modelled.
+#include <cmath>
+
+#include "rig.hpp"
+
+namespace kelplb::test {
+namespace {
+
+// Many light sidecars, each with the same warm servers and one that has just started; each has a few
+// requests, answered at once. Returns what share of a warm server's sends the cold one got.
+double cold_part(std::uint32_t sidecars, int requests_each, ServerId warm, Millis age) {
+    double cold = 0, others = 0;
+    for (std::uint32_t n = 0; n < sidecars; ++n) {
+        Settings s = make_settings({make_class(Effect::once)});
+        s.siblings = sidecars;
+        Rig rig(s, n + 1);
+        rig.list(ListKind::full, make_servers(warm));
+        rig.list(ListKind::incremental, {{warm + 1, 0, 0, Phase::on, rig.now - age}});
+        for (int i = 0; i < requests_each; ++i) {
+            const RequestId id = rig.request();
+            if (!rig.out(id)) continue;
+            (rig.where(id) == warm + 1 ? cold : others) += 1;
+            rig.end(id, Outcome::completed, 0.25);  // so that it does not grow warm meanwhile
+        }
+    }
+    return cold / (others / warm);
+}
+
+TEST(Fleet, ColdFeedIsAShareOfAWarmServersFromOneSidecarToAThousand) {
+    // 0.2 of its capacity at first, and no more than twice that from winning ties.
+    for (const auto& [sidecars, each] : {std::pair{1u, 4000}, {30u, 150}, {1000u, 4}}) {
+        const double part = cold_part(sidecars, each, 40, 0);
+        EXPECT_GT(part, 0.1) << sidecars;
+        EXPECT_LT(part, 0.6) << sidecars;
+    }
+}
+
+TEST(Fleet, AColdServerIsNoWayRoundAFullRoom) {
+    // Slow answers have shut the room: what finds none must not go to the one cold server instead.
+    Rig rig(make_settings({make_class(Effect::once)}));
+    rig.list(ListKind::full, make_servers(4));
+    for (int i = 0; i < 60; ++i) rig.serve(rig.burst(40, 5000), 600);
+    rig.list(ListKind::incremental, {{9, 0, 0, Phase::on, rig.now}});
+    const auto ids = rig.burst(200, 5000);
+    const auto cold = std::count_if(ids.begin(), ids.end(),
+                                    [&](RequestId id) { return rig.out(id) && rig.where(id) == 9; });
+    EXPECT_LT(rig.still_out(ids), 100);
+    EXPECT_LT(cold, rig.still_out(ids) / 2);
+}
+
+TEST(Fleet, LightSidecarsDrawServersByTheirRegisteredSize) {
+    // Every queue of their own is empty, so nothing but the draw can spare the small servers.
+    std::map<ServerId, double> load;
+    for (std::uint64_t n = 1; n <= 1000; ++n) {
+        Rig rig(make_settings({make_class(Effect::once)}), n);
+        auto servers = make_servers(20);
+        for (ServerInfo& s : servers) s.units = s.id <= 10 ? 3 : 1;
+        rig.list(ListKind::full, servers);
+        for (int i = 0; i < 4; ++i) {
+            const RequestId id = rig.request();
+            load[rig.where(id) <= 10] += 1;
+            rig.end(id, Outcome::completed, 0);
+        }
+    }
+    EXPECT_NEAR(load[true] / load[false], 3, 0.5);
+}
+
+TEST(Fleet, UnitsThatMakeNoSenseCountAsOne) {
+    Rig rig(make_settings({make_class(Effect::once)}));
+    auto servers = make_servers(3);
+    servers[0].units = 0, servers[1].units = -2, servers[2].units = std::nan("");
+    rig.list(ListKind::full, servers);
+    std::set<ServerId> met;
+    for (int i = 0; i < 60; ++i) {
+        const RequestId id = rig.request();
+        met.insert(rig.where(id));
+        rig.end(id, Outcome::completed, 0);
+    }
+    EXPECT_EQ(met.size(), 3U);
+}
+
+// Whether the connection to the server is closed after an answer, with `servers` of them and a request every
+// `gap`.
+bool closes(ServerId servers, Millis gap) {
+    Rig rig(make_settings({make_class(Effect::once)}));
+    rig.list(ListKind::full, make_servers(servers));
+    int closed = 0;
+    for (int i = 0; i < 60; ++i) {
+        rig.pass(gap);
+        rig.end(rig.request(), Outcome::completed, 0);
+        closed = rig.count<CloseIdle>();
+    }
+    return closed > 0;
+}
+
+TEST(Fleet, LightSidecarsDoNotFillConnectionTablesAndBusyOnesKeepTheirs) {
+    EXPECT_TRUE(closes(50, 500));
+    EXPECT_FALSE(closes(50, 20));
+    EXPECT_FALSE(closes(5, 500));
+}
+
+// ---- Probe race -----------------------------------------------------------------------------------------
+
+// A light sidecar (twenty servers, a request every 700 ms) whose last attempts have come too late.
+Rig troubled(bool may_probe = true) {
+    Settings s = make_settings({make_class(Effect::once)});
+    s.may_probe = may_probe;
+    Rig rig(s);
+    rig.list(ListKind::full, make_servers(20));
+    for (int i = 0; i < 12; ++i) {
+        rig.pass(700);
+        const RequestId id = rig.request(0, 3000);
+        for (const Action& a : std::vector<Action>(rig.last))
+            if (const auto* probe = std::get_if<Probe>(&a))
+                if (!rig.out(id)) rig.give(ProbeEnded{probe->server, Outcome::completed, 1});
+        if (rig.out(id)) rig.end(id, i < 10 ? Outcome::completed : Outcome::severed, 10);
+    }
+    rig.pass(700);
+    return rig;
+}
+
+std::vector<ServerId> probed(const Rig& rig) {
+    std::vector<ServerId> servers;
+    for (const Action& a : rig.last)
+        if (const auto* probe = std::get_if<Probe>(&a)) servers.push_back(probe->server);
+    return servers;
+}
+
+TEST(Race, TheServerThatAnswersItsProbeFirstGetsTheRequest) {
+    Rig rig = troubled();
+    const RequestId id = rig.request();
+    const auto asked = probed(rig);
+    ASSERT_EQ(asked.size(), 2U);
+    EXPECT_FALSE(rig.out(id));
+    rig.give(ProbeEnded{asked[1], Outcome::completed, 2});
+    ASSERT_TRUE(rig.out(id));
+    EXPECT_EQ(rig.where(id), asked[1]);
+    rig.give(ProbeEnded{asked[0], Outcome::completed, 3});
+    EXPECT_EQ(rig.sends(id), 1U) << "the later answer sends nothing";
+    rig.end(id, Outcome::completed);
+}
+
+TEST(Race, WhereNoProbeIsAnsweredTheRequestStillGoesOut) {
+    Rig rig = troubled();
+    const RequestId id = rig.request();
+    for (int round = 0; round < 5 && !rig.out(id); ++round)
+        for (const ServerId s : probed(rig)) rig.give(ProbeEnded{s, Outcome::overdue, 100});
+    EXPECT_TRUE(rig.out(id));
+    rig.end(id, Outcome::completed);
+}
+
+TEST(Race, ProbesThatNeverEndLeaveARequestAnsweredInTime) {
+    Rig rig = troubled();
+    const RequestId id = rig.request();
+    EXPECT_FALSE(rig.out(id));
+    rig.settle();
+    EXPECT_TRUE(rig.requests.at(id).refused) << "it never went out";
+}
+
+TEST(Race, NoProbesWhereNotAllowedNorWhileAllComesInTimeNorAtABusySidecar) {
+    {
+        Rig rig = troubled(false);
+        rig.request();
+        EXPECT_TRUE(probed(rig).empty());
+    }
+    for (const Millis gap : {700.0, 1.0}) {
+        Settings s = make_settings({make_class(Effect::once)});
+        s.may_probe = true;
+        Rig rig(s);
+        rig.list(ListKind::full, make_servers(20));
+        for (int i = 0; i < 60; ++i) {
+            rig.pass(gap);
+            const RequestId id = rig.request();
+            EXPECT_TRUE(probed(rig).empty());
+            rig.end(id, gap < 10 && i % 10 == 0 ? Outcome::severed : Outcome::completed, 1);
+        }
+    }
+}
+
+TEST(Race, ACollapsedPoolIsNotProbed) {
+    Rig rig = troubled();
+    for (int i = 0; i < 12; ++i) {
+        rig.pass(700);
+        const RequestId id = rig.request();
+        for (const ServerId s : probed(rig))
+            if (!rig.out(id)) rig.give(ProbeEnded{s, Outcome::completed, 1});
+        if (rig.out(id)) rig.end(id, Outcome::severed, 10);
+    }
+    rig.pass(700);
+    rig.request();
+    EXPECT_TRUE(probed(rig).empty());
+}
+
+TEST(Race, AServerThatDrainedMeanwhileGetsNothing) {
+    Rig rig = troubled();
+    const RequestId id = rig.request();
+    const auto asked = probed(rig);
+    ASSERT_EQ(asked.size(), 2U);
+    rig.list(ListKind::incremental, {{asked[0], 0, 0, Phase::fading, 0}});
+    rig.give(ProbeEnded{asked[0], Outcome::completed, 2});
+    EXPECT_FALSE(rig.out(id));
+    rig.give(ProbeEnded{asked[1], Outcome::completed, 3});
+    EXPECT_TRUE(rig.out(id));
+    rig.end(id, Outcome::completed);
+}
+
+Rig pool_of(ServerId count) {
+    Rig rig(make_settings({make_class(Effect::once)}));
+    rig.list(ListKind::full, make_servers(count));
+    return rig;
+}
+
+// ---- Gossip ---------------------------------------------------------------------------------------------
+
+// A light sidecar among 160 whose requests all fail; returns the messages it tells, by peer.
+std::vector<std::pair<std::uint32_t, std::vector<std::uint8_t>>> told(bool may_tell, Outcome outcome) {
+    Settings s = make_settings({make_class(Effect::once)});
+    s.may_tell = may_tell;
+    s.siblings = 160;
+    s.my_number = 7;
+    Rig rig(s);
+    rig.list(ListKind::full, make_servers(20));
+    std::vector<std::pair<std::uint32_t, std::vector<std::uint8_t>>> messages;
+    for (int i = 0; i < 30; ++i) {
+        rig.pass(700);
+        const RequestId id = rig.request();
+        if (!rig.out(id)) continue;
+        rig.end(id, outcome, 10);
+        for (const Action& a : rig.last)
+            if (const auto* tell = std::get_if<TellPeer>(&a))
+                messages.emplace_back(tell->to.value(), tell->bytes);
+    }
+    return messages;
+}
+
+TEST(Gossip, FailuresAreToldToAFewOtherPeersAndSuccessesToNone) {
+    const auto failed = told(true, Outcome::severed);
+    EXPECT_GT(failed.size(), 20U);
+    EXPECT_LT(failed.size(), 30U * 160 / 8);
+    for (const auto& [peer, bytes] : failed) {
+        EXPECT_LT(peer, 160U);
+        EXPECT_NE(peer, 7U) << "not itself";
+        EXPECT_EQ(bytes.size(), 4U);
+    }
+    EXPECT_TRUE(told(true, Outcome::completed).empty());
+    EXPECT_TRUE(told(false, Outcome::severed).empty()) << "where it is not allowed";
+}
+
+int sent_to(Rig& rig, ServerId server, int requests) {
+    int met = 0;
+    for (int i = 0; i < requests; ++i) {
+        const RequestId id = rig.request();
+        met += rig.where(id) == server;
+        rig.end(id, Outcome::completed, 0);
+    }
+    return met;
+}
+
+TEST(Gossip, ItBreaksTiesAgainstAServerAndIsForgotten) {
+    Rig rig = pool_of(10);
+    rig.give(PeerMessage{3, {0, 0, 0, 4}});
+    EXPECT_EQ(sent_to(rig, 4, 200), 0) << "of two, the other one wins";
+    rig.pass(3600000);
+    EXPECT_GT(sent_to(rig, 4, 200), 0);
+}
+
+TEST(Gossip, ALoudPeerEjectsNobodyAndMalformedMessagesDoNothing) {
+    Rig rig = pool_of(10);
+    for (int i = 0; i < 1000; ++i)
+        for (std::uint8_t s = 1; s <= 10; ++s) rig.give(PeerMessage{3, {0, 0, 0, s}});
+    rig.give(PeerMessage{3, {}});
+    rig.give(PeerMessage{3, {4}});
+    rig.give(PeerMessage{3, {0, 0, 0, 0, 4}});
+    rig.give(PeerMessage{3, std::vector<std::uint8_t>(256, 255)});
+    EXPECT_EQ(rig.removals(), 0);
+    std::set<ServerId> met;
+    for (int i = 0; i < 300; ++i) {
+        const RequestId id = rig.request();
+        ASSERT_TRUE(rig.out(id));
+        met.insert(rig.where(id));
+        rig.end(id, Outcome::completed, 0);
+    }
+    EXPECT_GE(met.size(), 9U) << "all doubted alike: all are used";
+}
+
+// ---- Shedding -------------------------------------------------------------------------------------------
+
+TEST(Fleet, LightSidecarsShedByLotWhenThePoolIsFull) {
+    int sent = 0, asked = 0;
+    for (std::uint64_t n = 1; n <= 200; ++n) {
+        Settings s = make_settings({make_class(Effect::once)});
+        s.siblings = 1000;
+        Rig rig(s, n);
+        rig.list(ListKind::full, make_servers(20));
+        for (int i = 0; i < 40; ++i) {
+            rig.pass(500);
+            const RequestId id = rig.request();
+            while (rig.out(id)) rig.end(id, Outcome::saturated, 1);
+            if (i >= 30) ++asked, sent += rig.sends(id) > 0;
+        }
+    }
+    EXPECT_LT(sent, asked / 2);
+    EXPECT_GT(sent, 0) << "never shut altogether";
+}
+
+}  // namespace
+}  // namespace kelplb::test
--- /dev/null
+++ b/tests/rig.hpp
@@ -0,0 +1,230 @@
+// What the tests share: a balancer with a clock, its open requests and timers, and a checker that watches
+// every action against rules 1 to 3, written from the rules and not from the module.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "kelplb/balancer.hpp"
+
+namespace kelplb::test {
+
+inline RequestClass make_class(Effect effect, DedupScope scope = DedupScope::all, Millis window = 3000) {
+    RequestClass c;
+    c.effect = effect;
+    c.dedup_scope = scope;
+    c.dedup_window = window;
+    c.aim = 400;
+    return c;
+}
+
+inline Settings make_settings(std::vector<RequestClass> classes = {make_class(Effect::repeatable)}) {
+    Settings s;
+    s.classes = std::move(classes);
+    s.max_attempts = 4;
+    s.cold_from = 0.2;
+    s.warm_within = 20000;
+    return s;
+}
+
+inline std::vector<ServerInfo> make_servers(ServerId count, Millis online_since = 0) {
+    std::vector<ServerInfo> servers;
+    for (ServerId i = 1; i <= count; ++i) servers.push_back({i, i % 3, i % 2, Phase::on, online_since});
+    return servers;
+}
+
+struct Rig {
+    struct Sent {
+        ServerId server;
+        Millis at;
+        Millis until;
+        bool out = true;
+        bool may_have_run = true;
+    };
+    struct Open {
+        RequestClass kind;
+        Millis deadline;
+        std::vector<Sent> sent;
+        int answers = 0;
+        bool gone = false;
+        bool refused = false;
+    };
+
+    Settings settings;
+    Balancer balancer;
+    Millis now = 100000;
+    std::map<RequestId, Open> requests;
+    std::map<ServerId, ServerInfo> servers;  // as last told
+    std::multimap<Millis, TimerToken> timers;
+    std::vector<Action> last;  // actions of the last event
+    RequestId next_id = 1;
+    std::vector<std::string> logs;
+
+    explicit Rig(Settings s, std::uint64_t seed = 1) : settings(s), balancer(std::move(s), seed) {}
+
+    void give(const Event& event) {
+        last.clear();
+        balancer.handle(now, event, last);
+        for (const Action& a : last) watch(a);
+    }
+
+    void list(ListKind kind, const std::vector<ServerInfo>& infos) {
+        if (kind != ListKind::incremental && kind != ListKind::failed)
+            for (auto& [id, s] : servers) s.phase = Phase::off;
+        for (const ServerInfo& s : infos) servers[s.id] = s;
+        give(ServerList{kind, infos});
+    }
+
+    RequestId request(std::uint32_t class_index = 0, Millis time_left = 1000, bool repeat = false) {
+        const RequestId id = next_id++;
+        RequestClass kind = make_class(Effect::once);
+        if (class_index < settings.classes.size()) kind = settings.classes[class_index];
+        requests[id] = {kind, now + time_left, {}, 0, false, false};
+        give(RequestArrived{id, class_index, time_left, 0, repeat});
+        return id;
+    }
+
+    std::vector<RequestId> burst(int count, Millis time_left = 1000, bool repeat = false) {
+        std::vector<RequestId> ids;
+        for (int i = 0; i < count; ++i) ids.push_back(request(0, time_left, repeat));
+        return ids;
+    }
+    int still_out(const std::vector<RequestId>& ids) const {
+        return static_cast<int>(std::count_if(ids.begin(), ids.end(), [&](RequestId id) { return out(id); }));
+    }
+    // Later, all of them that are still out are answered at once.
+    void serve(const std::vector<RequestId>& ids, Millis after) {
+        now += after;
+        for (const RequestId id : ids)
+            if (out(id)) end(id, Outcome::completed, 0);
+    }
+
+    // Ends the last attempt of a request that is out.
+    void end(RequestId id, Outcome outcome, Millis after = 50) {
+        now += after;
+        Open& r = requests.at(id);
+        for (std::uint32_t i = 0; i < r.sent.size(); ++i)
+            if (r.sent[i].out) return end_attempt(id, i, outcome);
+        FAIL() << "nothing out for request " << id;
+    }
+
+    void end_attempt(RequestId id, std::uint32_t attempt, Outcome outcome) {
+        Open& r = requests.at(id);
+        Sent& s = r.sent.at(attempt);
+        s.out = false;
+        s.may_have_run = outcome != Outcome::saturated && outcome != Outcome::refused_connection &&
+                         outcome != Outcome::superseded;
+        if (outcome == Outcome::completed && !closed(r)) ++r.answers;
+        AttemptEnded e{id, attempt, outcome, now - s.at, closed(r)};
+        give(e);
+    }
+
+    // Lets time pass, firing timers and ending attempts that run out.
+    void pass(Millis span) {
+        const Millis until = now + span;
+        for (;;) {
+            Millis next = until;
+            if (!timers.empty()) next = std::min(next, timers.begin()->first);
+            std::pair<RequestId, std::uint32_t> late{0, 0};
+            for (auto& [id, r] : requests)
+                for (std::uint32_t i = 0; i < r.sent.size(); ++i)
+                    if (r.sent[i].out && std::max(now, r.sent[i].until) < next) {
+                        next = std::max(now, r.sent[i].until);
+                        late = {id, i};
+                    }
+            now = std::max(now, next);
+            if (late.first) {
+                end_attempt(late.first, late.second, Outcome::overdue);
+            } else if (!timers.empty() && timers.begin()->first <= now && now <= until) {
+                const TimerToken token = timers.begin()->second;
+                timers.erase(timers.begin());
+                give(TimerFired{token});
+            } else {
+                return;
+            }
+        }
+    }
+
+    bool closed(const Open& r) const { return r.answers > 0 || r.gone; }
+    bool out(RequestId id) const {
+        const auto& sent = requests.at(id).sent;
+        return std::any_of(sent.begin(), sent.end(), [](const Sent& s) { return s.out; });
+    }
+    ServerId where(RequestId id) const { return requests.at(id).sent.back().server; }
+    std::size_t sends(RequestId id) const { return requests.at(id).sent.size(); }
+    auto removals() const { return std::count(logs.begin(), logs.end(), "removed from the pool"); }
+    template <class T>
+    int count() const {
+        return static_cast<int>(
+            std::count_if(last.begin(), last.end(), [](const Action& a) { return std::get_if<T>(&a); }));
+    }
+
+    void watch(const Action& action) {
+        if (const auto* send = std::get_if<Send>(&action)) on_send(*send);
+        if (const auto* refuse = std::get_if<Refuse>(&action)) {
+            Open& r = requests.at(refuse->id);
+            const Sent* first = nullptr;
+            for (const Sent& s : r.sent)
+                if (s.may_have_run && !first) first = &s;
+            if (first) {
+                EXPECT_TRUE(r.kind.effect == Effect::repeatable ||
+                            (r.kind.effect == Effect::by_key && r.kind.dedup_scope == DedupScope::all))
+                    << "rule 2: refused after a possible run";
+            }
+            r.refused = true;
+            answer(r);
+        }
+        if (const auto* failed = std::get_if<GiveUp>(&action)) answer(requests.at(failed->id));
+        if (const auto* timer = std::get_if<SetTimer>(&action)) timers.emplace(timer->at, timer->token);
+        if (const auto* log = std::get_if<Log>(&action)) logs.push_back(log->text);
+    }
+
+    void answer(Open& r) {
+        EXPECT_FALSE(closed(r)) << "rule 1: a second final answer";
+        EXPECT_LE(now, r.deadline) << "rule 1: too late an answer";
+        ++r.answers;
+    }
+
+    void on_send(const Send& send) {
+        Open& r = requests.at(send.id);
+        EXPECT_FALSE(closed(r)) << "rule 1: sent after the final answer";
+        EXPECT_LT(r.sent.size(), settings.max_attempts) << "too many attempts";
+        EXPECT_EQ(servers.at(send.server).phase, Phase::on) << "rule 3: sent to a draining or gone server";
+        const ServerInfo& to = servers.at(send.server);
+        const Sent* first = nullptr;
+        for (const Sent& s : r.sent) {
+            if (s.out) {
+                EXPECT_TRUE(settings.parallel_tries) << "two attempts out";
+            }
+            if (!s.may_have_run) continue;
+            if (!first) first = &s;
+            EXPECT_NE(r.kind.effect, Effect::once) << "rule 2: sent again after a possible run";
+            if (r.kind.effect != Effect::by_key) continue;
+            const ServerInfo& before = servers.at(s.server);
+            if (r.kind.dedup_scope == DedupScope::zone) {
+                EXPECT_EQ(to.zone, before.zone) << "rule 2: zone";
+            }
+            if (r.kind.dedup_scope == DedupScope::cell) {
+                EXPECT_EQ(to.cell, before.cell) << "rule 2: cell";
+            }
+        }
+        if (first && r.kind.effect == Effect::by_key) {
+            EXPECT_LT(now, first->at + r.kind.dedup_window) << "rule 2: after the window";
+        }
+        r.sent.push_back({send.server, now, send.try_until > 0 ? send.try_until : r.deadline, true, true});
+    }
+
+    // Everything taken must have been answered once.
+    void settle() {
+        pass(60000);
+        for (const auto& [id, r] : requests)
+            EXPECT_TRUE(closed(r)) << "rule 1: request " << id << " unanswered";
+        EXPECT_EQ(balancer.held().requests, 0U);
+    }
+};
+
+}  // namespace kelplb::test
