--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,228 @@
+#include "net/config.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <cstdlib>
+#include <fstream>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+#include "settings.hpp"
+
+namespace kelplb::net {
+
+namespace {
+
+using nlohmann::json;
+
+[[noreturn]] void fail(const std::string& field, const std::string& what) {
+    throw ConfigError("configuration: " + field + " " + what);
+}
+
+// A place in the JSON that knows its own path, so that a complaint can name it.
+class Field {
+public:
+    Field(const json* value, std::string path) : value_(value), path_(std::move(path)) {}
+
+    bool has(const std::string& name) const { return child(name).value_ != nullptr; }
+    Field operator[](const std::string& name) const {
+        Field f = child(name);
+        if (!f.value_) fail(f.path_, "is missing");
+        return f;
+    }
+    std::vector<Field> items() const {
+        if (!value_->is_array()) fail(path_, "is not a list");
+        std::vector<Field> all;
+        for (std::size_t i = 0; i < value_->size(); ++i)
+            all.emplace_back(&(*value_)[i], path_ + "[" + std::to_string(i) + "]");
+        return all;
+    }
+    std::string text() const {
+        if (!value_->is_string()) fail(path_, "is not a text");
+        return value_->get<std::string>();
+    }
+    double number() const {
+        if (!value_->is_number()) fail(path_, "is not a number");
+        const double n = value_->get<double>();
+        if (!std::isfinite(n)) fail(path_, "is not a finite number");
+        return n;
+    }
+    double amount() const {
+        const double n = number();
+        if (n < 0) fail(path_, "is negative");
+        return n;
+    }
+    template <class T = std::uint32_t>
+    T whole() const {
+        if (!value_->is_number_integer() ||
+            (!value_->is_number_unsigned() && value_->get<std::int64_t>() < 0))
+            fail(path_, "is not a whole number");
+        const auto n = value_->get<std::uint64_t>();
+        if (n > std::numeric_limits<T>::max()) fail(path_, "is too large");
+        return static_cast<T>(n);
+    }
+    bool flag() const {
+        if (!value_->is_boolean()) fail(path_, "is not true or false");
+        return value_->get<bool>();
+    }
+    template <class Protocol>
+    boost::asio::ip::basic_endpoint<Protocol> endpoint() const {
+        return parse<Protocol>(text(), path_);
+    }
+    template <class T>
+    T named(const std::vector<std::pair<const char*, T>>& names) const {
+        const std::string word = text();
+        for (const auto& [name, value] : names)
+            if (word == name) return value;
+        fail(path_, "is not a known word");
+    }
+
+    // "127.0.0.1:9000" or "[::1]:9000"
+    template <class Protocol>
+    static boost::asio::ip::basic_endpoint<Protocol> parse(const std::string& text, const std::string& path) {
+        const auto colon = text.rfind(':');
+        std::uint16_t port = 0;
+        boost::system::error_code ec;
+        std::string host = text.substr(0, colon);
+        if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+            host = host.substr(1, host.size() - 2);
+        const auto address = boost::asio::ip::make_address(host, ec);
+        const char* end = text.data() + text.size();
+        if (ec || colon == std::string::npos ||
+            std::from_chars(text.data() + colon + 1, end, port).ptr != end || colon + 1 == text.size())
+            fail(path, "is not address:port");
+        return {address, port};
+    }
+
+private:
+    Field child(const std::string& name) const {
+        const std::string path = path_.empty() ? name : path_ + "." + name;
+        if (!value_->is_object()) fail(path_.empty() ? "the file" : path_, "is not an object");
+        const auto at = value_->find(name);
+        return {at == value_->end() || at->is_null() ? nullptr : &*at, path};
+    }
+    const json* value_;
+    std::string path_;
+};
+
+HostList hosts_at(const Field& field) {
+    HostList list;
+    list.seq = field["seq"].whole<std::uint64_t>();
+    list.whole = field["whole"].flag();
+    for (const Field& item : field["hosts"].items()) {
+        Host h;
+        h.name = item["host"].text();
+        h.phase = item["health"].named<Phase>(
+            {{"SERVING", Phase::on}, {"DRAINING", Phase::fading}, {"DELETED", Phase::off}});
+        // What is gone needs no address any more.
+        if (h.phase != Phase::off || item.has("dial")) h.dial = item["dial"].endpoint<tcp>();
+        if (item.has("site")) h.zone = item["site"].text();
+        if (item.has("block")) h.cell = item["block"].whole();
+        if (item.has("born_ms")) h.born = item["born_ms"].number();
+        if (item.has("share")) h.units = item["share"].number();
+        list.hosts.push_back(std::move(h));
+    }
+    return list;
+}
+
+void read_settings(Config& c, const Field& root) {
+    Settings& s = c.settings;
+    if (root.has("azs"))
+        for (const Field& zone : root["azs"].items()) c.zones.push_back(zone.text());
+    if (root.has("my-zone")) s.my_zone = c.zone(root["my-zone"].text());
+    c.longest_deadline = 0;
+    for (const Field& item : root["classes"].items()) {
+        RequestClass r;
+        c.classes.push_back(item["name"].text());
+        r.effect = item["effect"].named<Effect>(
+            {{"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}});
+        if (item.has("dedup-scope"))
+            r.dedup_scope = item["dedup-scope"].named<DedupScope>(
+                {{"all", DedupScope::all}, {"zone", DedupScope::zone}, {"cell", DedupScope::cell}});
+        if (item.has("dedup-window-ms")) r.dedup_window = item["dedup-window-ms"].amount();
+        r.aim = item["on-time-ms"].amount();
+        if (item.has("aim-stretch")) r.aim_stretch = item["aim-stretch"].amount();
+        if (item.has("credit")) r.worth = item["credit"].amount();
+        const double give_up = item.has("give-up-ms") ? item["give-up-ms"].amount() : 3000;
+        c.longest_deadline = std::max(c.longest_deadline, give_up);
+        s.classes.push_back(r);
+    }
+    if (root.has("membership-mode"))
+        s.list_on_request = root["membership-mode"].named<bool>({{"pushed", false}, {"on_request", true}});
+    if (root.has("siblings")) s.siblings = root["siblings"].whole();
+    if (root.has("my-number")) s.my_number = root["my-number"].whole();
+    s.may_cancel = false;
+    if (root.has("limits")) {
+        const Field limits = root["limits"];
+        if (limits.has("max-attempts")) s.max_attempts = limits["max-attempts"].whole();
+        if (limits.has("parallel-tries")) s.parallel_tries = limits["parallel-tries"].flag();
+        if (limits.has("may-cancel")) s.may_cancel = limits["may-cancel"].flag();
+        if (limits.has("may-probe")) s.may_probe = limits["may-probe"].flag();
+        if (limits.has("may-tell")) s.may_tell = limits["may-tell"].flag();
+        if (limits.has("connect-timeout-ms")) c.connect_timeout = limits["connect-timeout-ms"].amount();
+        if (limits.has("idle-close-ms")) c.idle_close = limits["idle-close-ms"].amount();
+        if (limits.has("max-retry-after-ms")) c.max_retry_after = limits["max-retry-after-ms"].amount();
+    }
+    if (root.has("rules")) {
+        const Field rules = root["rules"];
+        if (rules.has("cold-from")) s.cold_from = rules["cold-from"].amount();
+        if (rules.has("fall-multiple")) s.fall_multiple = rules["fall-multiple"].amount();
+        if (rules.has("warm-within-ms")) s.warm_within = rules["warm-within-ms"].amount();
+    }
+    if (root.has("fees") && root["fees"].has("cross-zone"))
+        s.fees.cross_zone = root["fees"]["cross-zone"].amount();
+    try {
+        validate(s);
+    } catch (const std::invalid_argument& error) {
+        fail("settings", std::string("are refused: ") + error.what());
+    }
+}
+
+}  // namespace
+
+ZoneId Config::zone(const std::string& zone_name) {
+    const auto at = std::find(zones.begin(), zones.end(), zone_name);
+    const auto id = static_cast<ZoneId>(at - zones.begin());
+    if (at == zones.end()) zones.push_back(zone_name);
+    return id;
+}
+
+HostList read_hosts(const json& value) { return hosts_at(Field(&value, "")); }
+
+Config read_config(const json& value) {
+    const Field root(&value, "");
+    Config c;
+    c.name = root["name"].text();
+    c.listen = root["listen"].endpoint<tcp>();
+    c.discovery = root["discovery"].endpoint<tcp>();
+    const std::string seed = root["seed"].text();
+    const char* end = seed.data() + seed.size();
+    const auto parsed = std::from_chars(seed.data(), end, c.seed, 16);
+    if (seed.empty() || parsed.ptr != end || parsed.ec != std::errc()) fail("seed", "is not a hex number");
+    if (root.has("limits") && root["limits"].has("sockets"))
+        c.sockets = root["limits"]["sockets"].whole<std::size_t>();
+    if (c.sockets < 64) fail("limits.sockets", "is under 64, too few to serve with");
+    if (root.has("peer_listen")) c.peer_listen = root["peer_listen"].endpoint<udp>();
+    if (root.has("peers"))
+        for (const Field& peer : root["peers"].items()) c.peers.push_back(peer.endpoint<udp>());
+    if (root.has("peers_all")) c.peers_all = root["peers_all"].endpoint<udp>();
+    if (root.has("known")) c.known = hosts_at(root["known"]);
+    read_settings(c, root["settings"]);
+    return c;
+}
+
+Config load_config() {
+    const char* path = std::getenv("NODE_CONFIG");
+    if (!path || !*path) fail("NODE_CONFIG", "is not set");
+    std::ifstream file(path);
+    if (!file) fail("NODE_CONFIG", "names a file that can't be read");
+    json value = json::parse(file, nullptr, false);
+    if (value.is_discarded()) fail("NODE_CONFIG", "names a file that is not JSON");
+    if (value.is_object())
+        for (const auto& [variable, field] :
+             {std::pair{"NODE_NAME", "name"}, {"NODE_LISTEN", "listen"}, {"NODE_DISCOVERY", "discovery"}})
+            if (const char* text = std::getenv(variable); text && *text) value[field] = text;
+    return read_config(value);
+}
+
+}  // namespace kelplb::net
--- /dev/null
+++ b/src/net/node.cpp
@@ -0,0 +1,70 @@
+#include "net/node.hpp"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+
+namespace kelplb::net {
+
+namespace {
+
+// New connections go on coming for a while after the signal.
+constexpr std::chrono::milliseconds kAcceptOn{600}, kLook{10};
+// What is still held by then has passed every deadline; the kill is near.
+constexpr Millis kLastMoment = 500;
+
+// Descriptors for all but connections: the log, the loop, the listener, discovery, peers, and some to spare.
+constexpr std::size_t kSpare = 48;
+
+std::size_t share_of_descriptors(const Config& config) {
+    rlimit limit{};
+    std::size_t most = config.sockets;
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) most = std::min<std::size_t>(most, limit.rlim_cur);
+    return (std::max(most, kSpare + 16) - kSpare) / 2;
+}
+
+}  // namespace
+
+Node::Node(asio::io_context& io, Config config)
+    : io_(io),
+      config_(std::move(config)),
+      sidecar_(io, clock_, config_,
+               {config_.connect_timeout, config_.idle_close, share_of_descriptors(config_)}),
+      listener_(io, clock_, sidecar_, share_of_descriptors(config_)),
+      discovery_(io, config_,
+                 {[this](const HostList& list) { sidecar_.told(list); }, [this] { sidecar_.list_failed(); }}),
+      timer_(io) {
+    if (config_.peer_listen && config_.settings.may_tell)
+        peers_ =
+            std::make_unique<Peers>(io, config_, [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
+                sidecar_.peer_said(from, std::move(bytes));
+            });
+    sidecar_.connect_to(discovery_, peers_.get());
+    listener_.listen(config_.listen);
+    sidecar_.start();
+    if (!config_.settings.list_on_request) discovery_.watch(true);
+    listener_.open_for_use();
+}
+
+void Node::stop(std::function<void()> done) {
+    if (stopped_) return;
+    stopped_ = std::move(done);
+    stop_at_ = clock_.now() + config_.longest_deadline + kLastMoment;
+    listener_.drain();
+    timer_.expires_after(kAcceptOn);
+    timer_.async_wait([this](error_code ec) {
+        if (ec) return;
+        listener_.stop_accepting();
+        wind_down();
+    });
+}
+
+void Node::wind_down() {
+    if ((!listener_.busy() && sidecar_.unanswered() == 0) || clock_.now() >= stop_at_) return stopped_();
+    timer_.expires_after(kLook);
+    timer_.async_wait([this](error_code ec) {
+        if (!ec) wind_down();
+    });
+}
+
+}  // namespace kelplb::net
--- /dev/null
+++ b/src/net/node.hpp
@@ -0,0 +1,36 @@
+// All the parts of one sidecar, wired together.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "net/discovery.hpp"
+#include "net/listener.hpp"
+#include "net/peers.hpp"
+
+namespace kelplb::net {
+
+class Node {
+public:
+    Node(asio::io_context& io, Config config);  // throws if it can't listen
+    tcp::endpoint endpoint() const { return listener_.endpoint(); }
+
+    // A planned stop: serves on while clients are still sent here, then finishes what it holds.
+    void stop(std::function<void()> done);
+
+private:
+    void wind_down();
+
+    asio::io_context& io_;
+    Clock clock_;
+    Config config_;
+    Sidecar sidecar_;
+    Listener listener_;
+    std::unique_ptr<Peers> peers_;
+    Discovery discovery_;
+    asio::steady_timer timer_;
+    std::function<void()> stopped_;
+    Millis stop_at_ = 0;
+};
+
+}  // namespace kelplb::net
--- /dev/null
+++ b/src/net/upstream.hpp
@@ -0,0 +1,81 @@
+// Connections to servers: the pool, attempts and probes. It carries out what it is told, once, and says truly
+// how it ended; above all whether the server may have run it. It never sends anything again.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "kelplb/balancer.hpp"
+#include "net/clock.hpp"
+#include "net/http.hpp"
+
+namespace kelplb::net {
+
+struct AttemptKey {
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+    auto operator<=>(const AttemptKey&) const = default;
+};
+
+// Must outlive the running of the loop.
+class Upstream {
+public:
+    struct Limits {
+        Millis connect_timeout = 1000;
+        Millis idle_close = 15000;  // servers close what has been idle this long
+        std::size_t connections = 400;
+    };
+    // May be called from within send(), cancel() and the like: they only note what happened.
+    struct Handlers {
+        std::function<void(AttemptKey, Outcome, HttpResponse*)> attempt_ended;
+        std::function<void(ServerId, Outcome, Millis)> probe_ended;
+    };
+
+    Upstream(asio::io_context& io, const Clock& clock, Limits limits, Handlers handlers);
+    ~Upstream();
+
+    void send(AttemptKey key, ServerId server, const tcp::endpoint& to, RequestPtr request, Millis until);
+    // Its time is up: overdue, or no connection if not a byte has gone out.
+    void expire(AttemptKey key);
+    // Not wanted any more: recalled, or superseded if not a byte has gone out (then it never ran).
+    void cancel(AttemptKey key);
+    // Those of a request or to a server that have not begun to be written never will be.
+    void withdraw_request(RequestId id);
+    void withdraw_server(ServerId server);
+    void probe(ServerId server, const tcp::endpoint& to);
+    void close_idle(ServerId server);
+
+    std::size_t open() const { return open_; }
+
+private:
+    struct Link;
+    using LinkPtr = std::shared_ptr<Link>;
+    struct Job;
+
+    void start(std::unique_ptr<Job> job, ServerId server, const tcp::endpoint& to);
+    LinkPtr take_idle(ServerId server, const tcp::endpoint& to);
+    void connect(const LinkPtr& link);
+    void write(const LinkPtr& link);
+    void written(const LinkPtr& link, error_code ec, std::size_t bytes);
+    void read(const LinkPtr& link);
+    void answered(const LinkPtr& link);
+    void park(const LinkPtr& link);
+    void drop(const LinkPtr& link);
+    void end(const LinkPtr& link, Outcome outcome, HttpResponse* response, bool keep);
+    void report(std::unique_ptr<Job> job, ServerId server, Outcome outcome, HttpResponse* response);
+    void stop(AttemptKey key, Outcome unwritten, Outcome other);
+
+    asio::io_context& io_;
+    const Clock& clock_;
+    Limits limits_;
+    Handlers handlers_;
+    std::map<AttemptKey, LinkPtr> attempts_;
+    std::unordered_map<ServerId, std::vector<LinkPtr>> idle_;  // the newest last
+    std::size_t open_ = 0;
+};
+
+}  // namespace kelplb::net
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -6,6 +6,8 @@
 #include <istream>
 #include <ostream>
 
+#include "names.hpp"
+
 namespace kelplb::wire {
 
 namespace {
@@ -218,10 +220,7 @@
     ServerId server(const std::string& server_name) {
         const auto known = server_ids.find(server_name);
         if (known != server_ids.end()) return known->second;
-        // FNV-1a of the name: the same number at every sidecar, which peers need to understand one another.
-        ServerId id = 2166136261u;
-        for (const char c : server_name) id = (id ^ static_cast<unsigned char>(c)) * 16777619u;
-        while (servers.count(id)) ++id;  // a clash: peers then mean another server, which costs a tie
+        const ServerId id = server_number(server_name, [&](ServerId n) { return servers.count(n) > 0; });
         server_ids[server_name] = id;
         servers[id].name = server_name;
         return id;
