Test the sidecar over loopback sockets; let accepting resume when a full house falls idle

Seen: reading listener.cpp for the test of the connection limit showed that with all client connections busy, accepting paused and resumed only when one closed, not when one fell idle and could make room (Listener::accept, called from Session::idle now). A pause after EMFILE is now a state of its own (paused_), so that a closing connection does not cut it short.

35 tests with in-process servers, clients and discovery: serving and keep-alive; each way an attempt ends for each kind of class; refused, silent and interrupted connects; time-out; client gone; drain while connecting; stale idle connections; discovery down, garbled and back; EMFILE; bad requests; configuration; stopping; datagrams. Two were first unsound and mended: the full connection queue was filled with connects that blocked, and a reset before the last byte needs a request larger than the kernels' buffers, so it is put to Upstream itself. The stale-connection test waits for the server's close instead of a time.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -79,6 +79,7 @@
         if (in_.size() > 0) return read();
         if (in_.capacity() > kMaxHeader) in_.shrink_to_fit();
         watch();
+        owner_.accept();  // where all were busy, this one can now make room
     }
 
     // Wakes when there is something to read: the next request, or the client's leaving.
@@ -224,7 +225,7 @@
 }
 
 void Listener::accept() {
-    if (accepting_ || stopped_) return;
+    if (accepting_ || paused_ || stopped_) return;
     if (sessions_.size() >= most_) {  // make room: the one idle longest; else wait until one closes
         const auto spare = std::find_if(sessions_.begin(), sessions_.end(),
                                         [](const auto& session) { return session->quiet(); });
@@ -242,8 +243,10 @@
             ec == asio::error::no_buffer_space || ec == asio::error::no_memory) {
             // The connection stays in the kernel, and asking again at once would spin.
             log_line("accept: " + ec.message());
+            paused_ = true;
             retry_.expires_after(kAcceptRetry);
             retry_.async_wait([this](error_code stop) {
+                paused_ = false;
                 if (!stop) accept();
             });
             return;
@@ -260,7 +263,7 @@
 
 void Listener::closed(Session& session) {
     sessions_.erase(session.place);
-    if (!accepting_ && retry_.expiry() <= std::chrono::steady_clock::now()) accept();
+    accept();
 }
 
 void Listener::drain() {
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -45,6 +45,7 @@
     bool ready_ = false;
     bool draining_ = false;
     bool accepting_ = false;
+    bool paused_ = false;  // out of descriptors
     bool stopped_ = false;
 };
 
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,522 @@
+// The sidecar over loopback sockets: what clients, servers and discovery see of it.
+#include <sys/resource.h>
+
+#include "net_rig.hpp"
+
+namespace kelplb::net {
+namespace {
+
+using std::chrono::steady_clock;
+const std::string kNowhere = "127.0.0.1:1";
+
+double seconds_since(steady_clock::time_point start) {
+    return std::chrono::duration<double>(steady_clock::now() - start).count();
+}
+
+TEST(Serving, PassesOnUnchangedAndKeepsConnections) {
+    FakeServer server;
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    for (int i = 0; i < 3; ++i) {
+        const HttpResponse response =
+            app.ask(App::request("annotate", "25000m", "two words", "X-Other: kept\r\n"));
+        EXPECT_EQ(response.result_int(), 200u);
+        EXPECT_EQ(response.body(), "fine");
+        EXPECT_TRUE(response.keep_alive());
+    }
+    EXPECT_EQ(server.connections(), 1);
+    const HttpRequest seen = server.seen().at(0);
+    EXPECT_EQ(seen.method(), http::verb::post);
+    EXPECT_EQ(seen.target(), "/annotate?sid=7f");
+    EXPECT_EQ(seen.body(), "two words");
+    EXPECT_EQ(seen["X-Correlation-Id"], "9b1f");
+    EXPECT_EQ(seen["Idempotency-Key"], "5c0f");
+    EXPECT_EQ(seen["X-Other"], "kept");
+    const std::string left(seen["X-Time-Left"]);
+    EXPECT_EQ(left.back(), 'u');
+    EXPECT_LT(std::stoll(left), 25000000);
+    EXPECT_GT(std::stoll(left), 0);
+}
+
+// A client must not be able to take the key away from a server that drops repeats by it.
+TEST(Serving, ConnectionHeaderCanNotRemoveTheKey) {
+    FakeServer server;
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    app.ask(App::request("annotate", "25000m", "x", "X-Hop: 1\r\nConnection: Idempotency-Key, X-Hop\r\n"));
+    EXPECT_EQ(server.seen().at(0)["Idempotency-Key"], "5c0f");
+    EXPECT_EQ(server.seen().at(0).count("X-Hop"), 0u);
+}
+
+TEST(Serving, ReadyOnlyWithAList) {
+    FakeDiscovery discovery;
+    json config = a_config(discovery.at(), {});
+    config.erase("known");
+    Running sidecar(config);
+    App app(sidecar.at);
+    const std::string health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    EXPECT_EQ(app.ask(health).result_int(), 503u);
+    discovery.say(1, true, {host("s1", kNowhere)});
+    discovery.wait_for(2);
+    const auto start = steady_clock::now();
+    while (app.ask(health).result_int() != 200u) ASSERT_LT(seconds_since(start), 30);
+}
+
+// ---- How attempts end ------------------------------------------------------------------------------------
+
+struct Ending {
+    const char* name;
+    const char* grade;
+    FakeServer::Reply first;  // afterwards the server serves
+    unsigned status;
+    std::size_t requests;
+};
+void PrintTo(const Ending& ending, std::ostream* out) { *out << ending.name; }
+
+class Endings : public testing::TestWithParam<Ending> {};
+
+// May it be sent again? A class that must not run twice only where it is certain that it did not run.
+TEST_P(Endings, AreToldTruly) {
+    const Ending& ending = GetParam();
+    FakeServer server([&](Wire& wire, const HttpRequest& request, int number) {
+        if (number == 0) return ending.first(wire, request, number);
+        wire.respond(200, "fine");
+        return true;
+    });
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    EXPECT_EQ(app.ask(App::request(ending.grade)).result_int(), ending.status);
+    EXPECT_EQ(server.seen().size(), ending.requests);
+}
+
+const FakeServer::Reply kError = [](Wire& w, const HttpRequest&, int) { return w.respond(500), true; };
+const FakeServer::Reply kPlain503 = [](Wire& w, const HttpRequest&, int) { return w.respond(503), true; };
+const FakeServer::Reply kTurnedAway = [](Wire& w, const HttpRequest&, int) {
+    return w.respond(503, "", "X-Unprocessed: 1\r\n"), true;
+};
+const FakeServer::Reply kReset = [](Wire& w, const HttpRequest&, int) { return w.reset(), false; };
+const FakeServer::Reply kCutShort = [](Wire& w, const HttpRequest&, int) {
+    return w.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha"), false;
+};
+const FakeServer::Reply kNoLength = [](Wire& w, const HttpRequest&, int) {
+    return w.write("HTTP/1.1 200 OK\r\n\r\nwhole?"), false;
+};
+const FakeServer::Reply kNoise = [](Wire& w, const HttpRequest&, int) {
+    return w.write("\x01\x02 noise\r\n\r\n"), true;
+};
+const FakeServer::Reply kContinue = [](Wire& w, const HttpRequest&, int) {
+    w.write("HTTP/1.1 100 Continue\r\n\r\n");
+    return w.respond(200, "fine"), true;
+};
+
+INSTANTIATE_TEST_SUITE_P(All, Endings,
+                         testing::Values(Ending{"error_repeatable", "listen", kError, 200, 2},
+                                         Ending{"error_once", "deposit", kError, 502, 1},
+                                         Ending{"error_keyed", "annotate", kError, 200, 2},
+                                         Ending{"plain503_once", "deposit", kPlain503, 502, 1},
+                                         Ending{"away_repeatable", "listen", kTurnedAway, 200, 2},
+                                         Ending{"away_once", "deposit", kTurnedAway, 200, 2},
+                                         Ending{"reset_repeatable", "listen", kReset, 200, 2},
+                                         Ending{"reset_once", "deposit", kReset, 502, 1},
+                                         Ending{"reset_keyed", "annotate", kReset, 200, 2},
+                                         Ending{"cut_short_once", "deposit", kCutShort, 502, 1},
+                                         Ending{"no_length_once", "deposit", kNoLength, 502, 1},
+                                         Ending{"noise_once", "deposit", kNoise, 502, 1},
+                                         Ending{"continue_once", "deposit", kContinue, 200, 1}),
+                         [](const auto& info) { return info.param.name; });
+
+TEST(Attempts, RefusedConnectNeverRan) {
+    Running sidecar(a_config(kNowhere, {host("s1", kNowhere)}));
+    App app(sidecar.at);
+    EXPECT_EQ(app.ask(App::request("deposit")).result_int(), 503u);
+}
+
+// Short of its last byte a request never ran. It is larger here than what the two kernels hold for a server
+// that does not read.
+TEST(Attempts, ResetBeforeTheLastByteNeverRan) {
+    Acceptor server(
+        [](Wire& wire) {
+            char byte;
+            ::recv(wire.socket.native_handle(), &byte, 1, MSG_PEEK);  // it has begun
+            wire.reset();
+        },
+        2048);
+    asio::io_context io(1);
+    Clock clock;
+    std::vector<Outcome> outcomes;
+    Upstream upstream(
+        io, clock, {},
+        {[&](AttemptKey, Outcome outcome, HttpResponse*) { outcomes.push_back(outcome), io.stop(); },
+         [](ServerId, Outcome, Millis) {}});
+    auto request =
+        std::make_shared<HttpRequest>(http::verb::post, "/deposit", 11, std::string(64 << 20, 'x'));
+    request->prepare_payload();
+    upstream.send({1, 0}, 1, server.at, request, clock.now() + 60000);
+    io.run_for(kPatience);
+    EXPECT_EQ(outcomes, std::vector<Outcome>{Outcome::refused_connection});
+}
+
+// A queue for connections that is full: new ones neither come up nor are refused.
+class Silent {
+public:
+    Silent() : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}, false) {
+        acceptor_.listen(0);
+        for (int i = 0; i < 4; ++i) {
+            fillers_.emplace_back(io_, tcp::v4());
+            fillers_.back().native_non_blocking(true);
+            const tcp::endpoint to = acceptor_.local_endpoint();
+            ::connect(fillers_.back().native_handle(), to.data(), static_cast<socklen_t>(to.size()));
+        }
+    }
+    std::string at() const { return text_of(acceptor_.local_endpoint()); }
+
+private:
+    asio::io_context io_;
+    tcp::acceptor acceptor_;
+    std::list<tcp::socket> fillers_;
+};
+
+TEST(Attempts, SilentConnectNeverRan) {
+    Silent server;
+    json config = a_config(kNowhere, {host("s1", server.at())});
+    config["settings"]["limits"]["connect-timeout-ms"] = 50;
+    Running sidecar(config);
+    App app(sidecar.at);
+    const auto start = steady_clock::now();
+    EXPECT_EQ(app.ask(App::request("deposit")).result_int(), 503u);
+    EXPECT_LT(seconds_since(start), 20);
+}
+
+TEST(Attempts, ConnectingAtTheDeadlineNeverRan) {
+    Silent server;
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    EXPECT_EQ(app.ask(App::request("deposit", "200m")).result_int(), 503u);
+}
+
+TEST(Attempts, ConnectingToADrainingServerIsNeverWritten) {
+    Silent draining;
+    FakeServer other;
+    FakeDiscovery discovery;
+    Running sidecar(a_config(discovery.at(), {host("s1", draining.at())}));
+    App app(sidecar.at);
+    discovery.wait_for(1);
+    app.wire.write(App::request("deposit"));
+    // It connects by now, or does so after the list: either way the answer must come from the other server.
+    discovery.say(6, false, {host("s1", draining.at(), "DRAINING"), host("s2", other.at())});
+    const auto start = steady_clock::now();
+    EXPECT_EQ(app.answer().result_int(), 200u);
+    EXPECT_LT(seconds_since(start), 15);
+    EXPECT_EQ(other.seen().size(), 1u);
+}
+
+TEST(Attempts, TimedOutIsAnsweredByTheDeadlineAndClosed) {
+    std::promise<bool> closed;
+    FakeServer server([&](Wire& wire, const HttpRequest&, int) {
+        closed.set_value(wire.ended());
+        return false;
+    });
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    EXPECT_EQ(app.ask(App::request("deposit", "1000m")).result_int(), 502u);
+    EXPECT_TRUE(closed.get_future().get());
+}
+
+TEST(Attempts, ClientGoneClosesTheAttempt) {
+    std::promise<bool> closed;
+    FakeServer server([&](Wire& wire, const HttpRequest&, int) {
+        closed.set_value(wire.ended());
+        return false;
+    });
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    const auto start = steady_clock::now();
+    {
+        App app(sidecar.at);
+        app.wire.write(App::request("listen"));
+        ASSERT_TRUE(server.wait_for(1));
+    }
+    EXPECT_TRUE(closed.get_future().get());
+    EXPECT_LT(seconds_since(start), 20);
+}
+
+// A late answer of an attempt that was given up must not reach the next request of that connection.
+TEST(Attempts, ALateAnswerGoesNowhere) {
+    std::promise<void> late;
+    FakeServer server([&](Wire& wire, const HttpRequest&, int number) {
+        if (number == 0) {
+            wire.ended();
+            wire.respond(200, "late");
+            late.set_value();
+            return false;
+        }
+        return wire.respond(200, "fine"), true;
+    });
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    EXPECT_EQ(app.ask(App::request("deposit", "1000m")).result_int(), 502u);
+    late.get_future().get();
+    EXPECT_EQ(app.ask(App::request("deposit")).body(), "fine");
+}
+
+TEST(Pool, AStaleConnectionIsNotWrittenTo) {
+    std::atomic<int> closed{0};
+    FakeServer server([&](Wire& wire, const HttpRequest&, int) {
+        wire.respond(200, "fine");
+        wire.socket.close();
+        ++closed;
+        closed.notify_all();
+        return false;
+    });
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    for (int i = 0; i < 20; ++i) {
+        ASSERT_EQ(app.ask(App::request("deposit")).result_int(), 200u) << i;
+        closed.wait(i);
+    }
+    EXPECT_EQ(server.seen().size(), 20u);
+}
+
+TEST(Pool, IdleConnectionsGoBeforeTheServersLimit) {
+    std::promise<bool> closed;
+    FakeServer server([&](Wire& wire, const HttpRequest&, int) {
+        wire.respond(200, "fine");
+        closed.set_value(wire.ended());
+        return false;
+    });
+    json config = a_config(kNowhere, {host("s1", server.at())});
+    config["settings"]["limits"]["idle-close-ms"] = 400;
+    Running sidecar(config);
+    App app(sidecar.at);
+    EXPECT_EQ(app.ask(App::request("listen")).result_int(), 200u);
+    EXPECT_TRUE(closed.get_future().get());
+}
+
+// ---- Discovery -------------------------------------------------------------------------------------------
+
+TEST(Watch, SurvivesGarbageOldListsAndDowntime) {
+    FakeServer server;
+    FakeDiscovery discovery;
+    Running sidecar(a_config(discovery.at(), {host("s1", kNowhere)}));
+    EXPECT_EQ(discovery.wait_for(1).at(0), "/v1/servers?after=5&wait_ms=20000");
+    discovery.say("{\"seq\":");
+    EXPECT_EQ(discovery.wait_for(2).at(1), "/v1/servers");
+    discovery.say(4, true, {});  // older than what is held
+    discovery.wait_for(3);
+    discovery.say("");  // down: the connection ends
+    EXPECT_EQ(discovery.wait_for(4).at(3), "/v1/servers");
+    discovery.say(9, true, {host("s2", server.at())});
+    EXPECT_EQ(discovery.wait_for(5).at(4), "/v1/servers?after=9&wait_ms=20000");
+    App app(sidecar.at);
+    const auto start = steady_clock::now();  // the next call goes out just ahead of the list's being used
+    while (app.ask(App::request("listen")).result_int() != 200u) ASSERT_LT(seconds_since(start), 30);
+}
+
+// ---- Clients that send what can't be served
+// -----------------------------------------------------------------
+
+TEST(BadRequests, GetAnErrorAndReachNoServer) {
+    FakeServer server;
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    const std::string start =
+        "POST /deposit HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 1\r\nX-Service-Class: deposit\r\n";
+    const std::string whole = start + "X-Time-Left: 500m\r\n";
+    for (const std::string& text : std::vector<std::string>{
+             "no http at all\r\n\r\n",
+             "GET / HTTP/9.9\r\n\r\n",
+             whole + "Content-Length: -1\r\n\r\n",
+             whole + "Content-Length: 99999999999999999999999\r\n\r\n",
+             whole + "Content-Length: 70000\r\n\r\n" + std::string(70000, 'x'),
+             whole + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+             whole + "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+             whole + "X-Long: " + std::string(20000, 'x') + "\r\n\r\n",
+             start + "X-Time-Left: soon\r\nContent-Length: 0\r\n\r\n",
+             start + "X-Time-Left: 500\r\nContent-Length: 0\r\n\r\n",
+             start + "X-Time-Left: nanm\r\nContent-Length: 0\r\n\r\n",
+             start + "X-Time-Left: -5m\r\nContent-Length: 0\r\n\r\n",
+             start + "Content-Length: 0\r\n\r\n",
+             whole + "X-Correlation-Id: 2\r\nContent-Length: 0\r\n\r\n",
+             "POST /deposit HTTP/1.1\r\nX-Service-Class: deposit\r\nX-Time-Left: 500m\r\nContent-Length: "
+             "0\r\n\r\n",
+             "CONNECT other:80 HTTP/1.1\r\nHost: x\r\n\r\n",
+         }) {
+        App app(sidecar.at);
+        const unsigned status = app.ask(text).result_int();
+        EXPECT_TRUE(status >= 400 && status < 500) << status << " for " << text.substr(0, 200);
+    }
+    EXPECT_TRUE(server.seen().empty());
+    App app(sidecar.at);
+    EXPECT_EQ(app.ask(App::request("deposit")).result_int(), 200u);
+}
+
+TEST(BadRequests, PipelinedOnesAreServedInTurn) {
+    FakeServer server;
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    app.wire.write(App::request("listen") + App::request("deposit", "25000m", "x"));
+    EXPECT_EQ(app.answer().result_int(), 200u);
+    EXPECT_EQ(app.answer().result_int(), 200u);
+    EXPECT_EQ(server.seen().size(), 2u);
+}
+
+// A keyed class without its key is not known to be safe to repeat.
+TEST(BadRequests, AMissingKeyMeansMostCare) {
+    FakeServer server(kError);
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    std::string text = App::request("annotate");
+    text.erase(text.find("Idempotency-Key"), std::string("Idempotency-Key: 5c0f\r\n").size());
+    EXPECT_EQ(app.ask(text).result_int(), 502u);
+    EXPECT_EQ(server.seen().size(), 1u);
+}
+
+// ---- Limits
+// -------------------------------------------------------------------------------------------------
+
+TEST(Limits, ManyIdleClientsMakeRoomForNewOnes) {
+    FakeServer server;
+    json config = a_config(kNowhere, {host("s1", server.at())});
+    config["limits"]["sockets"] = 64;  // leaves room for 8 clients
+    Running sidecar(config);
+    std::list<App> apps;
+    for (int i = 0; i < 20; ++i) {
+        apps.emplace_back(sidecar.at);
+        ASSERT_EQ(apps.back().ask(App::request("listen")).result_int(), 200u) << i;
+    }
+}
+
+TEST(Limits, OutOfDescriptorsItWaitsWithoutSpinning) {
+    FakeServer server;
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App first(sidecar.at);
+    ASSERT_EQ(first.ask(App::request("listen")).result_int(), 200u);
+    const auto processor = [] {
+        rusage used{};
+        getrusage(RUSAGE_SELF, &used);
+        return used.ru_utime.tv_sec + used.ru_stime.tv_sec +
+               (used.ru_utime.tv_usec + used.ru_stime.tv_usec) * 1e-6;
+    };
+    asio::io_context io;
+    tcp::socket late(io, tcp::v4());
+    rlimit before{};
+    getrlimit(RLIMIT_NOFILE, &before);
+    rlimit none = before;
+    none.rlim_cur = 3;  // all that is open stays open; nothing new is
+    const double used = processor();
+    setrlimit(RLIMIT_NOFILE, &none);
+    late.connect(sidecar.at);  // by the kernel; the sidecar can't take it
+    const auto start = steady_clock::now();
+    while (seconds_since(start) < 0.5) std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    EXPECT_EQ(first.ask(App::request("listen")).result_int(), 200u) << "those it has are served on";
+    setrlimit(RLIMIT_NOFILE, &before);
+    EXPECT_LT(processor() - used, 0.25);
+    Wire wire(std::move(late));
+    wire.write(App::request("listen"));
+    HttpResponse response;
+    ASSERT_TRUE(wire.read(response));
+    EXPECT_EQ(response.result_int(), 200u);
+}
+
+// ---- Stopping
+// -----------------------------------------------------------------------------------------------
+
+TEST(Stopping, ServesOnThenEnds) {
+    std::promise<void> go;
+    std::shared_future<void> gone = go.get_future().share();
+    FakeServer server([&](Wire& wire, const HttpRequest&, int number) {
+        if (number == 0) gone.wait();
+        return wire.respond(200, "fine"), true;
+    });
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App idle(sidecar.at), held(sidecar.at);
+    ASSERT_EQ(idle.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").result_int(), 200u);
+    held.wire.write(App::request("deposit"));
+    ASSERT_TRUE(server.wait_for(1));
+    std::promise<void> done;
+    const auto start = steady_clock::now();
+    sidecar.stop([&] { done.set_value(); });
+    EXPECT_TRUE(idle.wire.ended());
+    if (seconds_since(start) < 0.3) {  // on a stalled machine the time for new ones is over
+        App late(sidecar.at);
+        const HttpResponse response = late.ask(App::request("listen"));
+        EXPECT_EQ(response.result_int(), 200u);
+        EXPECT_FALSE(response.keep_alive());
+    }
+    go.set_value();
+    const HttpResponse response = held.answer();
+    EXPECT_EQ(response.result_int(), 200u);
+    EXPECT_FALSE(response.keep_alive());
+    held.wire.socket.close();
+    EXPECT_EQ(done.get_future().wait_for(kPatience), std::future_status::ready);
+    EXPECT_GT(seconds_since(start), 0.4);
+}
+
+// ---- Peers
+// --------------------------------------------------------------------------------------------------
+
+TEST(PeerMessages, OnlyShortOnesFromPeersAreHeard) {
+    asio::io_context io(1);
+    const udp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    udp::socket peer(io, any), stranger(io, any);
+    Config config;
+    {
+        udp::socket probe(io, any);
+        config.peer_listen = probe.local_endpoint();
+    }
+    config.peers = {*config.peer_listen, peer.local_endpoint()};
+    std::vector<std::vector<std::uint8_t>> heard;
+    Peers peers(io, config, [&](std::uint32_t from, std::vector<std::uint8_t> bytes) {
+        EXPECT_EQ(from, 1u);
+        heard.push_back(std::move(bytes));
+        io.stop();
+    });
+    const std::vector<std::uint8_t> fit(256, 1), long_one(257, 2), word(4, 3);
+    stranger.send_to(asio::buffer(word), *config.peer_listen);
+    peer.send_to(asio::buffer(long_one), *config.peer_listen);
+    peer.send_to(asio::buffer(fit), *config.peer_listen);
+    io.run_for(kPatience);
+    EXPECT_EQ(heard, std::vector<std::vector<std::uint8_t>>{fit});
+    peers.tell(1, long_one);  // would break the rule on length: stays here
+    peers.tell(1, word);
+    std::array<std::uint8_t, 512> bytes{};
+    EXPECT_EQ(peer.receive(asio::buffer(bytes)), word.size());
+}
+
+// ---- Configuration
+// ------------------------------------------------------------------------------------------
+
+TEST(Configuration, ComplaintsNameTheField) {
+    const json good = a_config(kNowhere, {host("s1", kNowhere)});
+    EXPECT_NO_THROW(read_config(good));
+    const auto complaint = [&](const std::string& pointer, const json& value) -> std::string {
+        json bad = good;
+        if (value.is_null())
+            bad = bad.patch(json::array({{{"op", "remove"}, {"path", pointer}}}));
+        else
+            bad[json::json_pointer(pointer)] = value;
+        try {
+            read_config(bad);
+        } catch (const ConfigError& error) {
+            return error.what();
+        }
+        return "none";
+    };
+    const auto names = [&](const std::string& pointer, const json& value, const std::string& field) {
+        EXPECT_NE(complaint(pointer, value).find(field), std::string::npos) << complaint(pointer, value);
+    };
+    names("/name", nullptr, "name is missing");
+    names("/listen", nullptr, "listen is missing");
+    names("/listen", "here:port", "listen is not address:port");
+    names("/listen", "127.0.0.1:", "listen is not address:port");
+    names("/discovery", 7, "discovery is not a text");
+    names("/seed", "xyz", "seed is not a hex number");
+    names("/settings", nullptr, "settings is missing");
+    names("/settings/classes", json::array(), "classes");
+    names("/settings/classes/1/effect", "maybe", "settings.classes[1].effect");
+    names("/settings/classes/0/on-time-ms", "soon", "settings.classes[0].on-time-ms");
+    names("/settings/limits/max-attempts", -1, "settings.limits.max-attempts");
+    names("/known/hosts/0/dial", "x", "known.hosts[0].dial");
+    names("/limits", {{"sockets", 5}}, "limits.sockets");
+}
+
+}  // namespace
+}  // namespace kelplb::net
