Take a new client before room is made for it: a busy house closed its newest connection

Seen while writing the test of the limit: with every other client connection busy, Listener::accept closed the one connection that was idle, the newest, before its request had come (the eviction ahead of the accept), so that its client would have connected again and again. The new test failed so before. Now one over the limit is taken and the connection idle longest goes for it (make_room), never one that is new and the last; the client's share of descriptors is one less, so that each request still finds one upstream.

Checked: the test fails without the change and passes with it; the socket tests pass as release and under sanitizers, format checked.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -43,6 +43,7 @@
         : owner_(owner), socket_(std::move(socket)), timer_(owner.io_) {}
 
     State state() const { return state_; }
+    bool is_new() const { return new_; }  // nothing has come on it yet
     // An idle one that has nothing in the kernel either: closing it takes no request away.
     bool quiet() { return state_ == State::idle && in_.size() == 0 && peek(socket_) != Quiet::bytes; }
 
@@ -79,7 +80,7 @@
         if (in_.size() > 0) return read();
         if (in_.capacity() > kMaxHeader) in_.shrink_to_fit();
         watch();
-        owner_.accept();  // where all were busy, this one can now make room
+        owner_.make_room();
     }
 
     // Wakes when there is something to read: the next request, or the client's leaving.
@@ -110,6 +111,7 @@
 
     void read() {
         state_ = State::reading;
+        new_ = false;
         began_ = owner_.clock_.now();
         parser_.emplace();
         parser_->header_limit(kMaxHeader);
@@ -202,6 +204,7 @@
     asio::steady_timer timer_;
     State state_ = State::idle;
     bool watching_ = false;
+    bool new_ = true;
     beast::flat_buffer in_;
     std::optional<http::request_parser<http::string_body>> parser_;
     HttpResponse out_;
@@ -226,14 +229,8 @@
 
 void Listener::accept() {
     if (accepting_ || paused_ || stopped_) return;
-    if (sessions_.size() >= most_) {  // make room: the one idle longest; else wait until one closes
-        const auto spare = std::find_if(sessions_.begin(), sessions_.end(),
-                                        [](const auto& session) { return session->quiet(); });
-        if (spare == sessions_.end()) return;
-        const auto session = *spare;
-        session->close();
-        if (accepting_) return;
-    }
+    if (sessions_.size() > most_)
+        return;  // all busy: the next waits in the kernel until one is idle or closes
     accepting_ = true;
     acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
         accepting_ = false;
@@ -255,6 +252,17 @@
     });
 }
 
+// One over the limit is taken, and the one idle longest goes for it. Closing it ahead of the need would, with
+// all others busy, close the newest before its request has come, over and over.
+void Listener::make_room() {
+    if (sessions_.size() <= most_) return;
+    const auto spare = std::find_if(sessions_.begin(), sessions_.end(),
+                                    [](const auto& session) { return session->quiet(); });
+    if (spare == sessions_.end() || (*spare == sessions_.back() && (*spare)->is_new())) return;
+    const auto session = *spare;
+    session->close();
+}
+
 void Listener::admit(tcp::socket socket) {
     auto session = std::make_shared<Session>(*this, std::move(socket));
     session->place = sessions_.insert(sessions_.end(), session);
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -31,6 +31,7 @@
     using Sessions = std::list<std::shared_ptr<Session>>;
 
     void accept();
+    void make_room();
     void admit(tcp::socket socket);
     void closed(Session& session);
     bool ready() const { return ready_ && !draining_ && sidecar_.holds_list(); }
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -30,7 +30,7 @@
       config_(std::move(config)),
       sidecar_(io, clock_, config_,
                {config_.connect_timeout, config_.idle_close, share_of_descriptors(config_)}),
-      listener_(io, clock_, sidecar_, share_of_descriptors(config_)),
+      listener_(io, clock_, sidecar_, share_of_descriptors(config_) - 1),  // it takes one over the limit
       discovery_(io, config_,
                  {[this](const HostList& list) { sidecar_.told(list); }, [this] { sidecar_.list_failed(); }}),
       timer_(io) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -384,6 +384,30 @@
     }
 }
 
+// With all others busy, a new client's connection must live until its request has come.
+TEST(Limits, ABusyHouseDoesNotTurnOutTheNewest) {
+    std::promise<void> go;
+    std::shared_future<void> gone = go.get_future().share();
+    FakeServer server(
+        [&](Wire& wire, const HttpRequest&, int) { return gone.wait(), wire.respond(200, "fine"), true; });
+    json config = a_config(kNowhere, {host("s1", server.at())});
+    config["limits"]["sockets"] = 64;  // leaves room for 8 clients
+    Running sidecar(config);
+    std::list<App> apps;
+    for (std::size_t i = 0; i < 8; ++i) {
+        apps.emplace_back(sidecar.at);
+        if (i == 7)
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));  // taken, and silent for a while
+        apps.back().wire.write(App::request("listen"));
+        ASSERT_TRUE(server.wait_for(i + 1)) << i;
+    }
+    App late(sidecar.at);
+    late.wire.write(App::request("listen"));
+    go.set_value();
+    for (App& app : apps) EXPECT_EQ(app.answer().result_int(), 200u);
+    EXPECT_EQ(late.answer().result_int(), 200u);
+}
+
 TEST(Limits, OutOfDescriptorsItWaitsWithoutSpinning) {
     FakeServer server;
     Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
