Move the watch on discovery when SIGHUP says that the configuration changed

Checked: 129 is 128 + SIGHUP, and main.cpp had a handler for SIGTERM and SIGINT only. Ruled out: an exception (those exit with 1) and a stop that came too soon (no log line). Behind it stood two more faults that a handler alone would not have mended: config.cpp let NODE_DISCOVERY win over the file, and discovery.cpp answered() refused any seq below the old address's for ever and took an answer of a call that was no longer the present one. A file that can't be read leaves all as it was, with a line in the log. Test: Watch.MovesWithTheConfigurationAtOnce (broken file, lower seq, late answer of the old address, variable set) and the smoke test, which sends a real SIGHUP; neither can pass without the change.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -178,6 +178,16 @@
     }
 }
 
+json read_file() {
+    const char* path = std::getenv("NODE_CONFIG");
+    if (!path || !*path) fail("NODE_CONFIG", "is not set");
+    std::ifstream file(path);
+    if (!file) fail("NODE_CONFIG", "names a file that can't be read");
+    json value = json::parse(file, nullptr, false);
+    if (value.is_discarded()) fail("NODE_CONFIG", "names a file that is not JSON");
+    return value;
+}
+
 }  // namespace
 
 ZoneId Config::zone(const std::string& zone_name) {
@@ -212,12 +222,7 @@
 }
 
 Config load_config() {
-    const char* path = std::getenv("NODE_CONFIG");
-    if (!path || !*path) fail("NODE_CONFIG", "is not set");
-    std::ifstream file(path);
-    if (!file) fail("NODE_CONFIG", "names a file that can't be read");
-    json value = json::parse(file, nullptr, false);
-    if (value.is_discarded()) fail("NODE_CONFIG", "names a file that is not JSON");
+    json value = read_file();
     if (value.is_object())
         for (const auto& [variable, field] :
              {std::pair{"NODE_NAME", "name"}, {"NODE_LISTEN", "listen"}, {"NODE_DISCOVERY", "discovery"}})
@@ -225,4 +230,9 @@
     return read_config(value);
 }
 
+tcp::endpoint reload_discovery() {
+    const json value = read_file();
+    return Field(&value, "")["discovery"].endpoint<tcp>();
+}
+
 }  // namespace kelplb::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -64,5 +64,8 @@
 
 // Reads the file that NODE_CONFIG names; NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before what it says.
 Config load_config();
+// The file again, for the address of discovery. Here the file goes before the variable: it is what has
+// changed.
+tcp::endpoint reload_discovery();
 
 }  // namespace kelplb::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -24,7 +24,7 @@
 };
 
 Discovery::Discovery(asio::io_context& io, const Config& config, Handlers handlers)
-    : io_(io), config_(config), handlers_(std::move(handlers)), pause_(io) {
+    : io_(io), config_(config), at_(config.discovery), handlers_(std::move(handlers)), pause_(io) {
     if (config.known) seq_ = config.known->seq;
     gap_ = !config.known;
 }
@@ -39,6 +39,19 @@
     if (!call_) next();
 }
 
+void Discovery::move_to(const tcp::endpoint& to) {
+    if (to == at_) return;
+    log_line("discovery moves");
+    at_ = to;
+    const auto old = std::move(call_);
+    call_.reset();
+    if (old) old->stream->close();
+    kept_.reset();
+    seq_ = 0;  // the new one counts for itself: a lower number is no older list
+    gap_ = true;
+    next();
+}
+
 void Discovery::next() {
     if (call_ || (!active_ && !fetch_)) return;
     pause_.cancel();
@@ -54,11 +67,11 @@
     std::string target = "/v1/servers";
     if (!whole) target += "?after=" + std::to_string(seq_) + "&wait_ms=" + std::to_string(kWaitMs);
     call->request = {http::verb::get, target, 11};
-    call->request.set(http::field::host, config_.discovery.address().to_string());
+    call->request.set(http::field::host, at_.address().to_string());
     call->parser.body_limit(kListLimit);
     const auto fail = [this, call](error_code ec) {
         if (ec) failed(call, ec.message());
-        return static_cast<bool>(ec);
+        return ec || call_ != call;  // moved away from meanwhile
     };
     const auto exchange = [this, call, fail] {
         call->stream->expires_after(call->whole ? kCallTime
@@ -73,7 +86,7 @@
     };
     if (!fresh) return exchange();
     call->stream->expires_after(kCallTime);
-    call->stream->async_connect(config_.discovery, [fail, exchange](error_code ec) {
+    call->stream->async_connect(at_, [fail, exchange](error_code ec) {
         if (!fail(ec)) exchange();
     });
 }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -21,6 +21,8 @@
 
     void watch(bool active);  // where lists are pushed, active from the start
     void fetch();             // the whole list, once
+    // From now on another address is asked, from the whole list on. What the old one still says is dropped.
+    void move_to(const tcp::endpoint& to);
 
 private:
     struct Call;
@@ -31,6 +33,7 @@
 
     asio::io_context& io_;
     const Config& config_;
+    tcp::endpoint at_;
     Handlers handlers_;
     std::shared_ptr<Call> call_;
     std::unique_ptr<beast::tcp_stream> kept_;  // the connection for the next call
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "net/log.hpp"
+
 namespace kelplb::net {
 
 namespace {
@@ -59,6 +61,14 @@
     });
 }
 
+void Node::reload() {
+    try {
+        discovery_.move_to(reload_discovery());
+    } catch (const ConfigError& error) {
+        log_line(std::string("the old configuration stays in force: ") + error.what());
+    }
+}
+
 void Node::wind_down() {
     if ((!listener_.busy() && sidecar_.unanswered() == 0) || clock_.now() >= stop_at_) return stopped_();
     timer_.expires_after(kLook);
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -18,6 +18,9 @@
     // A planned stop: serves on while clients are still sent here, then finishes what it holds.
     void stop(std::function<void()> done);
 
+    // The file of the configuration has changed. Only discovery's address is taken from it.
+    void reload();
+
 private:
     void wind_down();
 
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -257,6 +257,9 @@
         io_.stop();
         thread_.join();
     }
+    void reload() {
+        asio::post(io_, [this] { node_.reload(); });
+    }
     void stop(std::function<void()> done) {
         asio::post(io_, [this, done] { node_.stop(done); });
     }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,6 +1,8 @@
 // The sidecar over loopback sockets: what clients, servers and discovery see of it.
 #include <sys/resource.h>
 
+#include <fstream>
+
 #include "net_rig.hpp"
 
 namespace kelplb::net {
@@ -311,6 +313,48 @@
     while (app.ask(App::request("listen")).result_int() != 200u) ASSERT_LT(seconds_since(start), 30);
 }
 
+// A file that stands in for the process's configuration.
+class ConfigFile {
+public:
+    explicit ConfigFile(const std::string& text) { write(text), ::setenv("NODE_CONFIG", path_.c_str(), 1); }
+    ~ConfigFile() { ::unsetenv("NODE_CONFIG"), std::remove(path_.c_str()); }
+    void write(const std::string& text) { std::ofstream(path_) << text; }
+
+private:
+    std::string path_ = testing::TempDir() + "kelplb_config_" + std::to_string(::getpid()) + ".json";
+};
+
+// The new address counts its lists for itself, and the old one has no more say, not even with a call that it
+// answers late. A file that can't be read changes nothing.
+TEST(Watch, MovesWithTheConfigurationAtOnce) {
+    FakeServer first, second;
+    FakeDiscovery old, fresh;
+    json config = a_config(old.at(), {host("s1", first.at())});
+    ConfigFile file(config.dump());
+    Running sidecar(config);
+    App app(sidecar.at);
+    old.wait_for(1);
+    file.write("{\"discovery\":");
+    sidecar.reload();
+    old.say(7, false, {});
+    EXPECT_EQ(old.wait_for(2).at(1), "/v1/servers?after=7&wait_ms=20000") << "the old one is kept";
+    config["discovery"] = fresh.at();
+    file.write(config.dump());
+    ::setenv("NODE_DISCOVERY", old.at().c_str(), 1);
+    sidecar.reload();
+    EXPECT_EQ(fresh.wait_for(1).at(0), "/v1/servers");
+    old.say(8, true, {});
+    fresh.say(2, true, {host("s2", second.at())});
+    EXPECT_EQ(fresh.wait_for(2).at(1), "/v1/servers?after=2&wait_ms=20000");
+    ::unsetenv("NODE_DISCOVERY");
+    const auto start = steady_clock::now();
+    while (second.seen().empty()) {
+        EXPECT_EQ(app.ask(App::request("listen")).result_int(), 200u);
+        ASSERT_LT(seconds_since(start), 30);
+    }
+    EXPECT_EQ(old.wait_for(2).size(), 2u);
+}
+
 // ---- Clients that send what can't be served
 // -----------------------------------------------------------------
 
--- a/tests/smoke.sh
+++ b/tests/smoke.sh
@@ -31,6 +31,13 @@
 printf 'GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n' >&3
 head -1 <&3 | grep -q '^HTTP/1.1 200'
 exec 3>&-
+sed -i 's/"discovery":"127.0.0.1:1"/"discovery":"127.0.0.1:2"/' "$folder/config.json"
+kill -HUP "$pid"
+for _ in $(seq 100); do
+    grep -q 'discovery moves' "$folder/log" && break
+    sleep 0.1
+done
+grep -q 'discovery moves' "$folder/log"
 kill -TERM "$pid"
 wait "$pid"
 pid=
