--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -211,6 +211,8 @@
     if (seed.empty() || parsed.ptr != end || parsed.ec != std::errc()) fail("seed", "is not a hex number");
     if (root.has("limits") && root["limits"].has("sockets"))
         c.sockets = root["limits"]["sockets"].whole<std::size_t>();
+    if (root.has("limits") && root["limits"].has("memory_mb"))
+        c.memory_mb = static_cast<std::size_t>(root["limits"]["memory_mb"].amount());
     if (c.sockets < 64) fail("limits.sockets", "is under 64, too few to serve with");
     if (root.has("peer_listen")) c.peer_listen = root["peer_listen"].endpoint<udp>();
     if (root.has("peers"))
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -45,6 +45,7 @@
     tcp::endpoint discovery;
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;
+    std::size_t memory_mb = 256;
     std::optional<udp::endpoint> peer_listen;
     std::vector<udp::endpoint> peers;
     std::optional<udp::endpoint> peers_all;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -20,7 +20,7 @@
 
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
-using RequestPtr = std::shared_ptr<const HttpRequest>;
+using RequestPtr = std::shared_ptr<HttpRequest>;
 
 constexpr std::uint32_t kMaxHeader = 16 * 1024;
 constexpr std::uint64_t kMaxBody = 64 * 1024;
@@ -38,6 +38,22 @@
         fields.erase(name);
 }
 
+// Hands what has come to a parser that is not eager; need_more if that is used up. The limit on heads is kept
+// here: the parser takes whole lines as they come and holds its own limit against what is left of them, so
+// that a head that never ends, sent by whole lines, would be kept without bound.
+template <class Parser>
+error_code feed(Parser& parser, beast::flat_buffer& in, std::size_t& head_bytes) {
+    error_code ec = http::error::need_more;
+    if (in.size() == 0) return ec;
+    const bool head = !parser.is_header_done();
+    const std::size_t used = parser.put(in.data(), ec);
+    in.consume(used);
+    if (head) head_bytes += used;
+    const bool endless = ec == http::error::need_more && in.size() + (head ? head_bytes : 0) >= kMaxHeader;
+    if (endless || head_bytes > kMaxHeader) return http::error::header_limit;
+    return ec;
+}
+
 // What a look at a quiet connection shows without taking anything from it.
 enum class Quiet { nothing, bytes, ended };
 inline Quiet peek(tcp::socket& socket) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,35 +1,31 @@
 #include "net/listener.hpp"
 
-#include <charconv>
-#include <cmath>
-
+#include "net/form.hpp"
 #include "net/log.hpp"
 
 namespace kelplb::net {
 
 namespace {
 
-constexpr std::chrono::seconds kReadTime{10};   // for a whole request, from its first byte
-constexpr std::chrono::seconds kWriteTime{10};  // for an answer that the client does not read
-constexpr std::chrono::seconds kLingerTime{1};  // for the client to read the last answer
-constexpr std::size_t kLingerBytes = 1 << 20;
-constexpr std::chrono::milliseconds kAcceptRetry{20};
+// A client is owed an answer or an end within 3 s, however little it sends.
+constexpr Millis kReadTime = 2500;   // for a whole request, from the connection's start or its first byte
+constexpr Millis kWriteTime = 5000;  // for an answer that the client does not read
+constexpr Millis kLingerTime = 500;  // for the client to read the last answer
+constexpr std::size_t kLingerBytes = 256 * 1024;
+constexpr std::chrono::milliseconds kAcceptRetry{20}, kSweep{50};
+// Which connections may go for another: silent ones never used, those long in sending their first request,
+// and idle ones that a client may still count on, but not within 2 s.
+constexpr Millis kSilentGrace = 20, kSlowGrace = 500, kIdleGrace = 2000;
 // Taken off the client's time: the answer has to be there before it gives up, not on its way.
 constexpr Millis kAnswerMargin = 5;
-
-// "480m" or "480000u"; nothing else.
-std::optional<Millis> parse_time_left(beast::string_view text) {
-    double value = 0;
-    const char* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value);
-    if (parsed.ec != std::errc() || parsed.ptr + 1 != end || !std::isfinite(value) || value < 0) return {};
-    if (*parsed.ptr == 'm') return value;
-    if (*parsed.ptr == 'u') return value / 1000;
-    return {};
-}
-
-bool given_once(const HttpRequest& request, const char* name) {
-    return request.count(name) == 1 && !request[name].empty();
+constexpr std::size_t kReadSize = 4096, kAhead = kMaxHeader;
+// What the kernel holds unread counts as memory too, and a sender at full speed fills it.
+constexpr int kKernelBuffer = 64 * 1024;
+
+http::status status_for(error_code ec) {
+    if (ec == http::error::body_limit) return http::status::payload_too_large;
+    if (ec == http::error::header_limit) return http::status::request_header_fields_too_large;
+    return http::status::bad_request;
 }
 
 }  // namespace
@@ -40,22 +36,34 @@
     enum class State { idle, reading, waiting, writing, lingering, closed };
 
     Session(Listener& owner, tcp::socket socket)
-        : owner_(owner), socket_(std::move(socket)), timer_(owner.io_) {}
+        : owner_(owner), socket_(std::move(socket)), since_(owner.clock_.now()) {}
 
     State state() const { return state_; }
-    bool is_new() const { return new_; }  // nothing has come on it yet
     // An idle one that has nothing in the kernel either: closing it takes no request away.
     bool quiet() { return state_ == State::idle && in_.size() == 0 && peek(socket_) != Quiet::bytes; }
 
+    // Which go first to make room for another, the least first; kStays: it does not go.
+    static constexpr int kStays = 4;
+    int rank(Millis now) const {
+        const Millis age = now - since_;
+        if (state_ == State::idle && new_ && age >= kSilentGrace) return 0;
+        if (state_ == State::lingering && age >= kSilentGrace) return 1;
+        if (state_ == State::reading && new_ && age >= kSlowGrace) return 2;
+        if (state_ == State::idle && !new_ && age >= kIdleGrace) return 3;
+        return kStays;
+    }
+
     void start() {
         error_code ec;
         socket_.set_option(tcp::no_delay(true), ec);
         socket_.non_blocking(true, ec);
-        idle();
+        until_ = since_ + kReadTime;  // from the start, whatever comes when
+        receive();
     }
 
     void answer(HttpResponse response) override {
         if (state_ != State::waiting) return;  // the client has left
+        release();
         write(std::move(response), keep_);
     }
 
@@ -63,117 +71,178 @@
         if (state_ == State::closed) return;
         const State before = state_;
         state_ = State::closed;
-        timer_.cancel();
         error_code ignored;
         socket_.close(ignored);
+        release();
         if (before == State::waiting) owner_.sidecar_.client_gone(id_);
         owner_.closed(*this);
     }
 
+    bool is_due(Millis now) const { return until_ > 0 && now >= until_; }
+    void time_is_up() {
+        if (state_ == State::reading) return reject(http::status::request_timeout);
+        close();
+    }
+
     Sessions::iterator place;
 
 private:
     void idle() {
         state_ = State::idle;
+        until_ = 0;
+        since_ = owner_.clock_.now();
         if (owner_.stopped_ && quiet()) return close();
         owner_.sessions_.splice(owner_.sessions_.end(), owner_.sessions_, place);
-        if (in_.size() > 0) return read();
-        if (in_.capacity() > kMaxHeader) in_.shrink_to_fit();
-        watch();
-        owner_.make_room();
+        if (in_.size() > 0) return begin();
+        if (in_.capacity() > kReadSize) in_.shrink_to_fit();
+        receive();
+        owner_.accept();  // one that waits may now find room
     }
 
-    // Wakes when there is something to read: the next request, or the client's leaving.
-    void watch() {
-        if (watching_) return;
-        watching_ = true;
-        socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code ec) {
-            watching_ = false;
-            if (state_ == State::closed) return;
-            if (ec) return close();
-            if (state_ == State::idle) return read();
-            if (state_ != State::waiting) return;
-            const Quiet seen = peek(socket_);
-            if (seen == Quiet::ended) return close();
-            if (seen == Quiet::nothing) return watch();
-            // The next request, ahead of this one's answer. It is read when its turn comes.
-        });
+    // At most one read is under way, in whichever state: it notices the client's leaving too. It has its own
+    // place for the bytes, since what has come before may be used up meanwhile.
+    void receive() {
+        if (receiving_ || state_ == State::closed) return;
+        receiving_ = true;
+        socket_.async_read_some(asio::buffer(chunk_),
+                                [this, self = shared_from_this()](error_code ec, std::size_t n) {
+                                    receiving_ = false;
+                                    if (state_ == State::closed) return;
+                                    try {
+                                        received(ec, n);
+                                    } catch (const std::exception& error) {
+                                        // Of one connection: what goes wrong with it must not touch the
+                                        // others.
+                                        log_line(std::string("a connection failed: ") + error.what());
+                                        close();
+                                    }
+                                });
     }
 
-    void limit(std::chrono::steady_clock::duration time) {
-        timer_.expires_after(time);
-        timer_.async_wait([this, self = shared_from_this(), state = state_](error_code ec) {
-            if (ec || state_ != state) return;
-            if (state_ == State::reading) return reject(http::status::request_timeout);
-            close();
-        });
+    void received(error_code ec, std::size_t n) {
+        if (state_ == State::lingering) {
+            discarded_ += n;
+            if (ec || discarded_ > kLingerBytes) return close();
+            return receive();
+        }
+        if (ec) {
+            if (state_ != State::writing) return close();
+            left_ = true;
+            return;
+        }
+        in_.commit(asio::buffer_copy(in_.prepare(n), asio::buffer(chunk_, n)));
+        if (state_ == State::idle) return begin();
+        if (state_ == State::reading) return parse();
+        // The next request, ahead of this one's answer. It is read when its turn comes; the reading goes on
+        // for the client's leaving.
+        if (state_ == State::waiting && in_.size() < kAhead) receive();
     }
 
-    void read() {
+    void begin() {
         state_ = State::reading;
-        new_ = false;
         began_ = owner_.clock_.now();
+        if (until_ == 0) until_ = began_ + kReadTime;
         parser_.emplace();
         parser_->header_limit(kMaxHeader);
         parser_->body_limit(kMaxBody);
-        limit(kReadTime);
-        http::async_read(
-            socket_, in_, *parser_, [this, self = shared_from_this()](error_code ec, std::size_t) {
-                if (state_ != State::reading) return;
-                if (!ec) return handle();
-                // What can't be read is told so. A connection that ended takes no answer.
-                if (ec == http::error::end_of_stream || ec == http::error::partial_message ||
-                    ec.category() != http::make_error_code(http::error::end_of_stream).category())
-                    return close();
-                if (ec == http::error::body_limit) return reject(http::status::payload_too_large);
-                if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
-                    return reject(http::status::request_header_fields_too_large);
-                reject(http::status::bad_request);
-            });
+        parser_->eager(false);
+        head_seen_ = false;
+        head_bytes_ = 0;
+        parse();
+    }
+
+    void parse() {
+        while (!parser_->is_done()) {
+            const error_code ec = feed(*parser_, in_, head_bytes_);
+            if (ec == http::error::need_more) return receive();
+            if (ec) return reject(status_for(ec));
+            if (parser_->is_header_done() && !head_seen_) {
+                head_seen_ = true;
+                if (!look_at_head()) return;
+            }
+        }
+        handle();
+    }
+
+    bool is_health() const {
+        const auto& head = parser_->get();
+        return head.target() == "/healthz" && head.method() == http::verb::get;
+    }
+
+    // No body is read before its head is found good and there is room for it. False: it was turned away.
+    bool look_at_head() {
+        const HttpRequest& head = parser_->get();
+        auto fault = framing_fault(head);
+        const bool framed = !fault;
+        if (!fault && !is_health()) fault = form_fault(head, owner_.sidecar_.config());
+        const std::size_t length = parser_->chunked() ? kMaxBody : parser_->content_length().value_or(0);
+        if (fault) {
+            keep_ = framed && length == 0 && head.keep_alive();
+            write(HttpResponse(*fault, 11), keep_);
+            return false;
+        }
+        if (owner_.body_bytes_ + length > owner_.limits_.body_bytes) {
+            reject(http::status::service_unavailable);
+            return false;
+        }
+        claimed_ = length;
+        owner_.body_bytes_ += length;
+        return true;
     }
 
     void handle() {
-        timer_.cancel();
+        const bool chunked = parser_->chunked();
+        const bool health = is_health();
         auto request = std::make_shared<HttpRequest>(parser_->release());
         parser_.reset();
         keep_ = request->keep_alive();
-        if (request->target() == "/healthz" && request->method() == http::verb::get) {
+        new_ = false;
+        if (health) {
             const bool ready = owner_.ready();
             return write(HttpResponse(ready ? http::status::ok : http::status::service_unavailable, 11),
                          keep_);
         }
-        if (request->method() != http::verb::get && request->method() != http::verb::post)
-            return write(HttpResponse(http::status::method_not_allowed, 11), keep_);
-        const auto time_left = parse_time_left((*request)["X-Time-Left"]);
-        if (!given_once(*request, "X-Correlation-Id") || !given_once(*request, "X-Service-Class") ||
-            !given_once(*request, "X-Time-Left") || request->count("Idempotency-Key") > 1 || !time_left ||
-            request->target().empty() || request->target().front() != '/')
-            return write(HttpResponse(http::status::bad_request, 11), keep_);
+        // What follows the chunks may add to the head.
+        if (chunked && (framing_fault(*request) || form_fault(*request, owner_.sidecar_.config())))
+            return reject(http::status::bad_request);
+        std::string name((*request)["X-Correlation-Id"]);
+        if (!owner_.open_.insert(name).second) return write(HttpResponse(http::status::conflict, 11), keep_);
+        open_name_ = std::move(name);
+        const Millis spent = owner_.clock_.now() - began_;
+        // Longer than any class waits, no client does.
+        const Millis left =
+            std::min(*parse_time_left((*request)["X-Time-Left"]), owner_.sidecar_.config().longest_deadline);
         strip_hop_by_hop(*request);
-        request->version(11);
         request->prepare_payload();
         state_ = State::waiting;
-        const Millis spent = owner_.clock_.now() - began_;
-        id_ = owner_.sidecar_.arrived(std::move(request), std::max(0.0, *time_left - spent - kAnswerMargin),
+        until_ = 0;
+        id_ = owner_.sidecar_.arrived(std::move(request), std::max(0.0, left - spent - kAnswerMargin),
                                       weak_from_this());
-        watch();
+        if (in_.size() < kAhead) receive();
+    }
+
+    void release() {
+        owner_.body_bytes_ -= std::exchange(claimed_, 0);
+        if (!open_name_.empty()) owner_.open_.erase(open_name_);
+        open_name_.clear();
     }
 
     void reject(http::status status) { write(HttpResponse(status, 11), false); }
 
     void write(HttpResponse response, bool keep) {
         state_ = State::writing;
+        release();
+        parser_.reset();
+        until_ = owner_.clock_.now() + kWriteTime;
         out_ = std::move(response);
         out_.version(11);
         keep = keep && !owner_.draining_;
         out_.keep_alive(keep);
         out_.prepare_payload();
-        limit(kWriteTime);
         http::async_write(socket_, out_, [this, self = shared_from_this(), keep](error_code ec, std::size_t) {
             if (state_ != State::writing) return;
-            timer_.cancel();
             out_ = {};
-            if (ec) return close();
+            if (ec || left_) return close();
             if (keep) return idle();
             linger();
         });
@@ -182,55 +251,53 @@
     // Closed with bytes unread, the kernel would reset the connection and the answer with it.
     void linger() {
         state_ = State::lingering;
+        since_ = owner_.clock_.now();
+        until_ = since_ + kLingerTime;
         error_code ec;
         socket_.shutdown(tcp::socket::shutdown_send, ec);
         in_.clear();
-        limit(kLingerTime);
-        discard();
-    }
-    void discard() {
-        in_.clear();
-        socket_.async_read_some(in_.prepare(4096),
-                                [this, self = shared_from_this()](error_code ec, std::size_t n) {
-                                    if (state_ != State::lingering) return;
-                                    discarded_ += n;
-                                    if (ec || discarded_ > kLingerBytes) return close();
-                                    discard();
-                                });
+        receive();
     }
 
     Listener& owner_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
     State state_ = State::idle;
-    bool watching_ = false;
-    bool new_ = true;
+    bool receiving_ = false;
+    bool new_ = true;    // no request has come whole and good yet
+    bool left_ = false;  // the client has, while its answer was written
+    bool head_seen_ = false;
+    bool keep_ = true;
+    std::array<char, kReadSize> chunk_;
     beast::flat_buffer in_;
     std::optional<http::request_parser<http::string_body>> parser_;
     HttpResponse out_;
     RequestId id_ = 0;
-    Millis began_ = 0;
-    bool keep_ = true;
-    std::size_t discarded_ = 0;
+    std::string open_name_;
+    std::size_t head_bytes_ = 0, claimed_ = 0, discarded_ = 0;
+    Millis since_ = 0, began_ = 0, until_ = 0;  // in this state; its request; closed or told off after
 };
 
-Listener::Listener(asio::io_context& io, const Clock& clock, Sidecar& sidecar, std::size_t connections)
-    : io_(io), clock_(clock), sidecar_(sidecar), most_(connections), acceptor_(io), retry_(io) {}
+Listener::Listener(asio::io_context& io, const Clock& clock, Sidecar& sidecar, Limits limits)
+    : io_(io), clock_(clock), sidecar_(sidecar), limits_(limits), acceptor_(io), retry_(io), sweep_(io) {}
 Listener::~Listener() = default;
 
 void Listener::listen(const tcp::endpoint& at) {
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.set_option(
+        asio::socket_base::receive_buffer_size(kKernelBuffer));  // passed on to what it takes
     acceptor_.bind(at);
     acceptor_.listen(1024);
     acceptor_.non_blocking(true);
     accept();
+    sweep();
 }
 
 void Listener::accept() {
     if (accepting_ || paused_ || stopped_) return;
-    if (sessions_.size() > most_)
-        return;  // all busy: the next waits in the kernel until one is idle or closes
+    // One over the limit is taken and another goes for it. With all others busy the next waits in the kernel
+    // until one is idle or closes.
+    if (sessions_.size() > limits_.connections && !make_room()) return;
     accepting_ = true;
     acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
         accepting_ = false;
@@ -252,15 +319,21 @@
     });
 }
 
-// One over the limit is taken, and the one idle longest goes for it. Closing it ahead of the need would, with
-// all others busy, close the newest before its request has come, over and over.
-void Listener::make_room() {
-    if (sessions_.size() <= most_) return;
-    const auto spare = std::find_if(sessions_.begin(), sessions_.end(),
-                                    [](const auto& session) { return session->quiet(); });
-    if (spare == sessions_.end() || (*spare == sessions_.back() && (*spare)->is_new())) return;
-    const auto session = *spare;
-    session->close();
+bool Listener::make_room() {
+    const Millis now = clock_.now();
+    std::shared_ptr<Session> first;
+    int rank = Session::kStays;
+    for (const auto& session : sessions_) {  // those quiet longest come first
+        const int own = session->rank(now);
+        if (own >= rank || (session->state() == Session::State::idle && !session->quiet())) continue;
+        first = session, rank = own;
+        if (rank == 0) break;
+    }
+    if (!first) return false;
+    accepting_ = true;  // not from within its closing
+    first->close();
+    accepting_ = false;
+    return true;
 }
 
 void Listener::admit(tcp::socket socket) {
@@ -274,6 +347,21 @@
     accept();
 }
 
+// One timer for all connections' time limits: none is exact, and one each would cost more than the requests.
+void Listener::sweep() {
+    sweep_.expires_after(kSweep);
+    sweep_.async_wait([this](error_code ec) {
+        if (ec) return;
+        const Millis now = clock_.now();
+        std::vector<std::shared_ptr<Session>> due;
+        for (const auto& session : sessions_)
+            if (session->is_due(now)) due.push_back(session);
+        for (const auto& session : due) session->time_is_up();
+        accept();
+        sweep();
+    });
+}
+
 void Listener::drain() {
     draining_ = true;
     const Sessions all = sessions_;
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -4,6 +4,8 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <string>
+#include <unordered_set>
 
 #include "net/http.hpp"
 #include "net/sidecar.hpp"
@@ -12,7 +14,11 @@
 
 class Listener {
 public:
-    Listener(asio::io_context& io, const Clock& clock, Sidecar& sidecar, std::size_t connections);
+    struct Limits {
+        std::size_t connections = 400;
+        std::size_t body_bytes = 16 << 20;  // of all requests held at a time
+    };
+    Listener(asio::io_context& io, const Clock& clock, Sidecar& sidecar, Limits limits);
     ~Listener();
 
     void listen(const tcp::endpoint& at);  // throws if it can't
@@ -25,24 +31,28 @@
     void stop_accepting();
     // Connections with a request being read, served or answered.
     bool busy() const;
+    std::size_t connections() const { return sessions_.size(); }
 
 private:
     class Session;
     using Sessions = std::list<std::shared_ptr<Session>>;
 
     void accept();
-    void make_room();
+    bool make_room();
     void admit(tcp::socket socket);
     void closed(Session& session);
+    void sweep();
     bool ready() const { return ready_ && !draining_ && sidecar_.holds_list(); }
 
     asio::io_context& io_;
     const Clock& clock_;
     Sidecar& sidecar_;
-    std::size_t most_;
+    Limits limits_;
     tcp::acceptor acceptor_;
-    asio::steady_timer retry_;
-    Sessions sessions_;  // those idle longest come first among the idle ones
+    asio::steady_timer retry_, sweep_;
+    Sessions sessions_;                     // those quiet longest come first
+    std::unordered_set<std::string> open_;  // ids of the requests that await their answer
+    std::size_t body_bytes_ = 0;            // claimed by requests held
     bool ready_ = false;
     bool draining_ = false;
     bool accepting_ = false;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -16,13 +16,23 @@
 constexpr Millis kLastMoment = 500;
 
 // Descriptors for all but connections: the log, the loop, the listener, discovery, peers, and some to spare.
-constexpr std::size_t kSpare = 48;
+constexpr std::size_t kSpare = 32;
+// Of the rest, more for clients than for servers: clients also hold idle ones and ones that say nothing.
+constexpr double kForClients = 0.56;
+// Of the memory, for the bodies of requests held. Each is there up to three times: read, kept, and on its
+// way.
+constexpr std::size_t kBodyPart = 12;
+// What a server sends behind its answer follows it at once; within this it has been noticed.
+constexpr Millis kSettle = 2;
 
-std::size_t share_of_descriptors(const Config& config) {
+std::size_t connections(const Config& config) {
     rlimit limit{};
     std::size_t most = config.sockets;
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0) most = std::min<std::size_t>(most, limit.rlim_cur);
-    return (std::max(most, kSpare + 16) - kSpare) / 2;
+    return std::max(most, kSpare + 16) - kSpare;
+}
+std::size_t from_clients(const Config& config) {
+    return static_cast<std::size_t>(static_cast<double>(connections(config)) * kForClients);
 }
 
 }  // namespace
@@ -31,8 +41,11 @@
     : io_(io),
       config_(std::move(config)),
       sidecar_(io, clock_, config_,
-               {config_.connect_timeout, config_.idle_close, share_of_descriptors(config_)}),
-      listener_(io, clock_, sidecar_, share_of_descriptors(config_) - 1),  // it takes one over the limit
+               {config_.connect_timeout, config_.idle_close, connections(config_) - from_clients(config_),
+                kSettle}),
+      listener_(io, clock_, sidecar_,
+                {from_clients(config_) - 1,  // it takes one over the limit
+                 std::max<std::size_t>(kMaxBody, (config_.memory_mb << 20) / kBodyPart)}),
       discovery_(io, config_,
                  {[this](const HostList& list) { sidecar_.told(list); }, [this] { sidecar_.list_failed(); }}),
       timer_(io) {
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -68,11 +68,6 @@
     if (!hint.empty()) event.effort = std::max(0.0, std::atof(std::string(hint).c_str()) / 1000);
     const auto name = std::find(names.begin(), names.end(), (*message)["X-Service-Class"]);
     event.class_index = static_cast<std::uint32_t>(name - names.begin());
-    // A keyed class without a key is not known to be safe to repeat: as an unknown one, handled with most
-    // care.
-    if (name != names.end() && config_.settings.classes[event.class_index].effect == Effect::by_key &&
-        (*message)["Idempotency-Key"].empty())
-        event.class_index = std::numeric_limits<std::uint32_t>::max();
     Request& request = requests_[id];
     request.message = std::move(message);
     request.client = std::move(client);
@@ -99,7 +94,7 @@
         const ServerId id = server(host.name);
         Server& s = servers_[id];
         // Another process, or another address: what is open leads nowhere.
-        if (s.born != host.born || s.dial != host.dial) upstream_.close_idle(id);
+        if (s.born != host.born || s.dial != host.dial) upstream_.retire(id);
         s.born = host.born;
         s.phase = host.phase;
         s.listed = host.phase != Phase::off;
@@ -129,7 +124,13 @@
     --request.out;
     const auto [sent_at, server_id] = request.sent[key.attempt];
     AttemptEnded event{key.id, key.attempt, outcome, clock_.now() - sent_at, false};
-    if (outcome == Outcome::completed && !request.ended && response) {
+    // A 4xx speaks of the request, not of the server: another would say the same. It is passed on as it is,
+    // and as withdrawn it counts neither for the server nor against it. 429 would tell the client that it
+    // never ran.
+    const unsigned status = response ? response->result_int() : 0;
+    const bool unfit = status >= 400 && status < 500 && status != 408 && status != 429;
+    if (unfit) event.outcome = Outcome::recalled;
+    if ((outcome == Outcome::completed || unfit) && !request.ended && response) {
         strip_hop_by_hop(*response);
         response->erase("X-Backend-Load");
         answer(key.id, request, std::move(*response));
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -1,10 +1,18 @@
 #include "net/upstream.hpp"
 
 #include <algorithm>
-#include <sstream>
+
+#include "net/log.hpp"
 
 namespace kelplb::net {
 
+namespace {
+constexpr std::size_t kReadSize = 4096;
+constexpr int kMostInterim = 16;
+// What the kernel holds unread counts as memory too, and an endless answer fills it at once.
+constexpr int kKernelBuffer = 64 * 1024;
+}  // namespace
+
 struct Upstream::Job {
     AttemptKey key;
     bool probe = false;
@@ -13,21 +21,31 @@
     Millis until = 0;
 };
 
+// The connections to one server for as long as it is listed with this address and start.
+struct Upstream::Pool {
+    std::vector<LinkPtr> idle;  // the newest last
+    std::size_t links = 0;      // all of them, idle or not
+    bool withdrawn = false;     // what is still out on them ends, and they with it
+};
+
 struct Upstream::Link {
     enum class State { connecting, writing, reading, idle, closed };
 
-    Link(asio::io_context& io, ServerId id, const tcp::endpoint& endpoint)
-        : server(id), to(endpoint), socket(io), timer(io) {}
+    Link(asio::io_context& io, ServerId id, const tcp::endpoint& endpoint, std::shared_ptr<Pool> p)
+        : server(id), to(endpoint), pool(std::move(p)), socket(io), timer(io) {}
 
     ServerId server;
     tcp::endpoint to;
+    std::shared_ptr<Pool> pool;
     tcp::socket socket;
     asio::steady_timer timer;  // connecting, probing and idling; an attempt's own end comes from outside
     State state = State::connecting;
     std::unique_ptr<Job> job;
     std::string out;
     std::size_t out_done = 0;
-    beast::flat_buffer in{kMaxHeader + kMaxBody};
+    beast::flat_buffer in;
+    std::size_t head_bytes = 0;
+    int interim = 0;  // 1xx answers so far
     std::optional<http::response_parser<http::string_body>> parser;
     Millis idle_since = 0;
 };
@@ -35,7 +53,9 @@
 Upstream::Upstream(asio::io_context& io, const Clock& clock, Limits limits, Handlers handlers)
     : io_(io), clock_(clock), limits_(limits), handlers_(std::move(handlers)) {}
 
-Upstream::~Upstream() = default;
+Upstream::~Upstream() {
+    for (const auto& [id, pool] : pools_) pool->idle.clear();  // a connection holds its pool
+}
 
 void Upstream::send(AttemptKey key, ServerId server, const tcp::endpoint& to, RequestPtr request,
                     Millis until) {
@@ -62,14 +82,12 @@
     LinkPtr link = take_idle(server, to);
     const bool fresh = !link;
     if (fresh) {
-        if (open_ >= limits_.connections) {  // make room: the oldest of those that nobody uses
-            LinkPtr oldest;
-            for (const auto& [id, links] : idle_)
-                if (!links.empty() && (!oldest || links.front()->idle_since < oldest->idle_since))
-                    oldest = links.front();
-            if (oldest) drop(oldest);
-        }
-        link = std::make_shared<Link>(io_, server, to);
+        if (open_ >= limits_.connections) make_room();
+        auto& pool = pools_[server];
+        if (!pool) pool = std::make_shared<Pool>();
+        link = std::make_shared<Link>(io_, server, to, pool);
+        ++pool->links;
+        ++open_;
     }
     if (!job->probe) attempts_[job->key] = link;
     if (job->probe) {
@@ -82,24 +100,36 @@
     }
     link->job = std::move(job);
     if (!fresh) return write(link);
-    if (open_ >= limits_.connections) {  // no descriptor to spare: it never goes out
-        link->state = Link::State::closed;
-        return report(std::move(link->job), server, Outcome::refused_connection, nullptr);
-    }
+    // No descriptor to spare: it never goes out. That is no fault of the server's.
+    if (open_ > limits_.connections) return end(link, Outcome::superseded, nullptr, false);
     connect(link);
 }
 
+// Of those that nobody uses the one idle longest.
+void Upstream::make_room() {
+    LinkPtr oldest;
+    for (const auto& [id, pool] : pools_)
+        if (!pool->idle.empty() && (!oldest || pool->idle.front()->idle_since < oldest->idle_since))
+            oldest = pool->idle.front();
+    if (oldest) drop(oldest);
+}
+
 // The newest first: the older ones then reach their idle limit and go. What has ended in the meantime, or has
-// something to say unasked, is not fit to be written to, and nothing may be sent twice to find that out.
+// something to say unasked, is not fit to be written to, and nothing may be sent twice to find that out. One
+// that has only just answered may have more to say, which would be taken for the next request's answer.
 Upstream::LinkPtr Upstream::take_idle(ServerId server, const tcp::endpoint& to) {
-    const auto at = idle_.find(server);
-    while (at != idle_.end() && !at->second.empty()) {
-        LinkPtr link = at->second.back();
+    const auto at = pools_.find(server);
+    if (at == pools_.end()) return nullptr;
+    const auto pool = at->second;  // it may go with its last connection
+    const Millis settled = clock_.now() - limits_.settle;
+    for (std::size_t i = pool->idle.size(); i-- > 0;) {
+        LinkPtr link = pool->idle[i];
         if (link->to != to || peek(link->socket) != Quiet::nothing) {
             drop(link);
             continue;
         }
-        at->second.pop_back();
+        if (link->idle_since > settled) continue;
+        pool->idle.erase(pool->idle.begin() + static_cast<std::ptrdiff_t>(i));
         link->timer.cancel();
         return link;
     }
@@ -111,7 +141,7 @@
     link->socket.open(link->to.protocol(), ec);
     if (!ec) link->socket.set_option(tcp::no_delay(true), ec);
     if (!ec) link->socket.non_blocking(true, ec);
-    ++open_;
+    if (!ec) link->socket.set_option(asio::socket_base::receive_buffer_size(kKernelBuffer), ec);
     if (ec) return end(link, Outcome::refused_connection, nullptr, false);
     if (!link->job->probe) {
         link->timer.expires_at(clock_.point(clock_.now() + limits_.connect_timeout));
@@ -131,16 +161,25 @@
 void Upstream::write(const LinkPtr& link) {
     Job& job = *link->job;
     link->state = Link::State::writing;
-    HttpRequest message = *job.request;
+    HttpRequest& message = *job.request;
     if (!job.probe) {
         // Whole milliseconds would round a short time to nothing.
         const double left = std::max(0.0, job.until - clock_.now());
         message.set("X-Time-Left", std::to_string(static_cast<long long>(left * 1000)) + "u");
     }
-    std::ostringstream text;
-    text << message;
-    link->out = std::move(text).str();
+    link->out.clear();
     link->out_done = 0;
+    http::request_serializer<http::string_body> text(message);
+    error_code wrong;
+    while (!wrong && !text.is_done())
+        text.next(wrong, [&](error_code&, const auto& buffers) {
+            for (auto at = asio::buffer_sequence_begin(buffers); at != asio::buffer_sequence_end(buffers);
+                 ++at) {
+                const asio::const_buffer part = *at;
+                link->out.append(static_cast<const char*>(part.data()), part.size());
+            }
+            text.consume(asio::buffer_size(buffers));
+        });
     // Directly: nearly every request fits, and how much of it has gone out is known at once.
     error_code ec;
     const std::size_t bytes = link->socket.write_some(asio::buffer(link->out), ec);
@@ -164,18 +203,43 @@
     link->parser.emplace();
     link->parser->header_limit(kMaxHeader);
     link->parser->body_limit(kMaxBody);
-    http::async_read(link->socket, link->in, *link->parser, [this, link](error_code ec, std::size_t) {
-        if (link->state != Link::State::reading) return;
+    link->parser->eager(false);
+    link->head_bytes = 0;
+    parse(link);
+}
+
+void Upstream::parse(const LinkPtr& link) {
+    while (!link->parser->is_done()) {
+        const error_code ec = feed(*link->parser, link->in, link->head_bytes);
+        if (ec == http::error::need_more) return receive(link);
         // An answer that only the connection's end would end may have been cut short.
         if (ec || link->parser->need_eof()) return end(link, Outcome::severed, nullptr, false);
-        if (link->parser->get().result_int() < 200) return read(link);  // 1xx: more follows
-        answered(link);
+    }
+    const unsigned status = link->parser->get().result_int();
+    if (status / 100 != 1) return answered(link);
+    // 1xx: more follows, but not without end.
+    if (status == 101 || ++link->interim > kMostInterim) return end(link, Outcome::severed, nullptr, false);
+    read(link);
+}
+
+void Upstream::receive(const LinkPtr& link) {
+    link->socket.async_read_some(link->in.prepare(kReadSize), [this, link](error_code ec, std::size_t bytes) {
+        if (link->state != Link::State::reading) return;
+        if (ec) return end(link, Outcome::severed, nullptr, false);
+        try {
+            link->in.commit(bytes);
+            parse(link);
+        } catch (const std::exception& error) {
+            // Of one answer: what goes wrong with it must not touch the others.
+            log_line(std::string("an answer failed: ") + error.what());
+            if (link->job) end(link, Outcome::severed, nullptr, false);
+        }
     });
 }
 
 void Upstream::answered(const LinkPtr& link) {
     // Bytes behind the answer belong to nobody: such a connection is not used again.
-    const bool keep = link->parser->keep_alive() && link->in.size() == 0;
+    const bool keep = link->parser->keep_alive() && link->in.size() == 0 && !link->pool->withdrawn;
     HttpResponse response = link->parser->release();
     link->parser.reset();
     const unsigned status = response.result_int();
@@ -190,10 +254,10 @@
 void Upstream::park(const LinkPtr& link) {
     link->state = Link::State::idle;
     link->idle_since = clock_.now();
-    link->out = std::string();
-    link->in.clear();
-    if (link->in.capacity() > kMaxHeader) link->in.shrink_to_fit();
-    idle_[link->server].push_back(link);
+    if (link->out.capacity() > kReadSize) link->out = std::string();
+    link->interim = 0;
+    if (link->in.capacity() > kReadSize) link->in.shrink_to_fit();
+    link->pool->idle.push_back(link);
     // Well before the server does: what is written to a connection that it has closed is lost.
     link->timer.expires_at(
         clock_.point(link->idle_since + limits_.idle_close - std::min(1000.0, limits_.idle_close / 4)));
@@ -208,12 +272,14 @@
 
 void Upstream::drop(const LinkPtr& link) {
     if (link->state == Link::State::closed) return;
-    if (link->state == Link::State::idle) std::erase(idle_[link->server], link);
+    if (link->state == Link::State::idle) std::erase(link->pool->idle, link);
     link->state = Link::State::closed;
     link->timer.cancel();
     error_code ignored;
     link->socket.close(ignored);
     --open_;
+    const auto at = pools_.find(link->server);
+    if (--link->pool->links == 0 && at != pools_.end() && at->second == link->pool) pools_.erase(at);
 }
 
 void Upstream::end(const LinkPtr& link, Outcome outcome, HttpResponse* response, bool keep) {
@@ -255,15 +321,22 @@
     for (const auto& [key, link] : attempts_)
         if (link->server == server && link->state == Link::State::connecting) links.push_back(link);
     for (const LinkPtr& link : links) end(link, Outcome::superseded, nullptr, false);
+    retire(server);
+}
+
+void Upstream::retire(ServerId server) {
     close_idle(server);
+    const auto at = pools_.find(server);
+    if (at == pools_.end()) return;
+    at->second->withdrawn = true;
+    pools_.erase(at);
 }
 
 void Upstream::close_idle(ServerId server) {
-    const auto at = idle_.find(server);
-    if (at == idle_.end()) return;
-    const std::vector<LinkPtr> links = at->second;
+    const auto at = pools_.find(server);
+    if (at == pools_.end()) return;
+    const std::vector<LinkPtr> links = at->second->idle;
     for (const LinkPtr& link : links) drop(link);
-    idle_.erase(server);
 }
 
 }  // namespace kelplb::net
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -28,6 +28,7 @@
         Millis connect_timeout = 1000;
         Millis idle_close = 15000;  // servers close what has been idle this long
         std::size_t connections = 400;
+        Millis settle = 2;  // an answer's connection is not used again sooner
     };
     // May be called from within send(), cancel() and the like: they only note what happened.
     struct Handlers {
@@ -45,23 +46,32 @@
     void cancel(AttemptKey key);
     // Those of a request or to a server that have not begun to be written never will be.
     void withdraw_request(RequestId id);
+    // No connection to the server is used again either, now or when what is out on it has ended.
     void withdraw_server(ServerId server);
     void probe(ServerId server, const tcp::endpoint& to);
     void close_idle(ServerId server);
+    // As withdrawn, but for what is still connecting.
+    void retire(ServerId server);
 
     std::size_t open() const { return open_; }
+    std::size_t out() const { return attempts_.size(); }
+    std::size_t pools() const { return pools_.size(); }
 
 private:
     struct Link;
     using LinkPtr = std::shared_ptr<Link>;
+    struct Pool;
     struct Job;
 
     void start(std::unique_ptr<Job> job, ServerId server, const tcp::endpoint& to);
+    void make_room();
     LinkPtr take_idle(ServerId server, const tcp::endpoint& to);
     void connect(const LinkPtr& link);
     void write(const LinkPtr& link);
     void written(const LinkPtr& link, error_code ec, std::size_t bytes);
     void read(const LinkPtr& link);
+    void parse(const LinkPtr& link);
+    void receive(const LinkPtr& link);
     void answered(const LinkPtr& link);
     void park(const LinkPtr& link);
     void drop(const LinkPtr& link);
@@ -74,7 +84,7 @@
     Limits limits_;
     Handlers handlers_;
     std::map<AttemptKey, LinkPtr> attempts_;
-    std::unordered_map<ServerId, std::vector<LinkPtr>> idle_;  // the newest last
+    std::unordered_map<ServerId, std::shared_ptr<Pool>> pools_;  // only those with connections
     std::size_t open_ = 0;
 };
 
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -49,6 +49,14 @@
               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
     // Waits for the other side's end; true if not a byte came before it.
+    // All that comes until the other side ends.
+    std::string rest() {
+        std::string all;
+        char bytes[4096];
+        for (ssize_t n; (n = ::recv(socket.native_handle(), bytes, sizeof bytes, 0)) > 0;)
+            all.append(bytes, static_cast<std::size_t>(n));
+        return all;
+    }
     bool ended() {
         char byte;
         const auto n = ::recv(socket.native_handle(), &byte, 1, 0);
@@ -279,9 +287,11 @@
     explicit App(const tcp::endpoint& at) : wire(connected(at)) {}
     static std::string request(const std::string& grade, const std::string& time_left = "25000m",
                                const std::string& body = "", const std::string& more = "") {
+        static std::atomic<int> last{0};
         return (grade == "listen" ? "GET /" : "POST /") + grade + "?sid=7f HTTP/1.1\r\nHost: api\r\n" +
-               "X-Correlation-Id: 9b1f\r\nX-Service-Class: " + grade + "\r\nX-Time-Left: " + time_left +
-               "\r\n" + (grade == "annotate" ? "Idempotency-Key: 5c0f\r\n" : "") + more +
+               "X-Correlation-Id: 9b1f" + std::to_string(++last) + "\r\nX-Service-Class: " + grade +
+               "\r\nX-Time-Left: " + time_left + "\r\n" +
+               (grade == "annotate" ? "Idempotency-Key: 5c0f\r\n" : "") + more +
                (grade == "listen" ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" +
                body;
     }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -25,13 +25,14 @@
         EXPECT_EQ(response.result_int(), 200u);
         EXPECT_EQ(response.body(), "fine");
         EXPECT_TRUE(response.keep_alive());
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));  // a connection just used is left alone
     }
     EXPECT_EQ(server.connections(), 1);
     const HttpRequest seen = server.seen().at(0);
     EXPECT_EQ(seen.method(), http::verb::post);
     EXPECT_EQ(seen.target(), "/annotate?sid=7f");
     EXPECT_EQ(seen.body(), "two words");
-    EXPECT_EQ(seen["X-Correlation-Id"], "9b1f");
+    EXPECT_EQ(seen["X-Correlation-Id"].substr(0, 4), "9b1f");
     EXPECT_EQ(seen["Idempotency-Key"], "5c0f");
     EXPECT_EQ(seen["X-Other"], "kept");
     const std::string left(seen["X-Time-Left"]);
@@ -89,6 +90,11 @@
     App app(sidecar.at);
     EXPECT_EQ(app.ask(App::request(ending.grade)).result_int(), ending.status);
     EXPECT_EQ(server.seen().size(), ending.requests);
+    // Whatever was left over, it answers nobody.
+    const HttpResponse next = app.ask(App::request("deposit"));
+    EXPECT_EQ(next.result_int(), 200u);
+    EXPECT_EQ(next.body(), "fine");
+    EXPECT_EQ(server.seen().size(), ending.requests + 1);
 }
 
 const FakeServer::Reply kError = [](Wire& w, const HttpRequest&, int) { return w.respond(500), true; };
@@ -111,6 +117,64 @@
     return w.respond(200, "fine"), true;
 };
 
+FakeServer::Reply says(const std::string& text) {
+    return [text](Wire& w, const HttpRequest&, int) { return w.write(text), true; };
+}
+// Sent by whole lines until the sidecar has had enough.
+const FakeServer::Reply kEndlessHead = [](Wire& w, const HttpRequest&, int) {
+    const std::string lines = "X-Pad: pppppppppppppppppppppppp\r\nX-Pad: pppppppppppppppppppppppp\r\n";
+    error_code ec;
+    asio::write(w.socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n")), ec);
+    for (int i = 0; i < 1000000 && !ec; ++i) asio::write(w.socket, asio::buffer(lines), ec);
+    EXPECT_TRUE(ec) << "it would be read for ever";
+    return false;
+};
+const FakeServer::Reply kEndlessBody = [](Wire& w, const HttpRequest&, int) {
+    error_code ec;
+    asio::write(w.socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n")),
+                ec);
+    const std::string part(65536, 'x');
+    for (int i = 0; i < 10000 && !ec; ++i) asio::write(w.socket, asio::buffer(part), ec);
+    EXPECT_TRUE(ec) << "it would be read for ever";
+    return false;
+};
+const FakeServer::Reply kEndlessInterim = [](Wire& w, const HttpRequest&, int) {
+    error_code ec;
+    for (int i = 0; i < 1000000 && !ec; ++i)
+        asio::write(w.socket, asio::buffer(std::string("HTTP/1.1 102 Processing\r\n\r\n")), ec);
+    EXPECT_TRUE(ec) << "it would be read for ever";
+    return false;
+};
+const std::string kFine = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine";
+
+// Spoilt answers may have run; overfull ones are good. After either the connection is of no more use.
+INSTANTIATE_TEST_SUITE_P(
+    Spoilt, Endings,
+    testing::Values(
+        Ending{"endless_head", "deposit", kEndlessHead, 502, 1},
+        Ending{"endless_body", "deposit", kEndlessBody, 502, 1},
+        Ending{"endless_interim", "deposit", kEndlessInterim, 502, 1},
+        Ending{"status_word", "deposit", says("HTTP/1.1 OK 200\r\nContent-Length: 4\r\n\r\nfine"), 502, 1},
+        Ending{"other_protocol", "deposit", says("ICY 200 OK\r\nContent-Length: 4\r\n\r\nfine"), 502, 1},
+        Ending{"no_colon", "deposit", says("HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 4\r\n\r\nfine"),
+               502, 1},
+        Ending{"two_lengths", "deposit",
+               says("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nfine"), 502, 1},
+        Ending{"negative_length", "deposit", says("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nfine"), 502,
+               1},
+        Ending{"bad_chunk", "deposit",
+               says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\nzz\r\n"), 502, 1},
+        Ending{"switching", "deposit", says("HTTP/1.1 101 Switching Protocols\r\n\r\n"), 502, 1},
+        Ending{"spoilt_repeatable", "listen", says("ICY 200 OK\r\n\r\n"), 200, 2},
+        Ending{"interim_ahead", "deposit",
+               says("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + kFine),
+               200, 1},
+        Ending{"unreadable_report", "deposit",
+               says("HTTP/1.1 200 OK\r\nX-Backend-Load: {\"\r\nContent-Length: 4\r\n\r\nfine"), 200, 1},
+        Ending{"second_copy", "deposit", says(kFine + kFine), 200, 1},
+        Ending{"noise_behind", "deposit", says(kFine + "\x01\x02 noise"), 200, 1}),
+    [](const auto& info) { return info.param.name; });
+
 INSTANTIATE_TEST_SUITE_P(All, Endings,
                          testing::Values(Ending{"error_repeatable", "listen", kError, 200, 2},
                                          Ending{"error_once", "deposit", kError, 502, 1},
@@ -278,6 +342,102 @@
     EXPECT_EQ(server.seen().size(), 20u);
 }
 
+// What a server sends behind its answer, however late, answers no other request.
+TEST(Pool, ALeftoverIsNeverTheNextAnswer) {
+    std::promise<void> asked;
+    std::shared_future<void> go = asked.get_future().share();
+    std::promise<bool> ended;
+    FakeServer server([&](Wire& wire, const HttpRequest&, int number) {
+        wire.respond(200, "fine");
+        if (number > 0) return true;
+        go.wait();
+        wire.respond(200, "left over");
+        ended.set_value(wire.ended());
+        return false;
+    });
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    EXPECT_EQ(app.ask(App::request("deposit")).body(), "fine");
+    asked.set_value();
+    EXPECT_TRUE(ended.get_future().get()) << "the connection goes";
+    EXPECT_EQ(app.ask(App::request("deposit")).body(), "fine");
+    EXPECT_EQ(server.connections(), 2);
+}
+
+// An Upstream alone, on a loop that the test runs.
+struct Bench {
+    explicit Bench(Upstream::Limits limits) : upstream(io, clock, limits, handlers()) {}
+    Upstream::Handlers handlers() {
+        return {
+            [this](AttemptKey, Outcome outcome, HttpResponse*) { outcomes.push_back(outcome), io.stop(); },
+            [](ServerId, Outcome, Millis) {}};
+    }
+    void send(ServerId server, const std::string& to) {
+        auto request = std::make_shared<HttpRequest>(http::verb::post, "/deposit", 11, "x");
+        request->prepare_payload();
+        const auto colon = to.rfind(':');
+        upstream.send({++last, 0}, server,
+                      {asio::ip::make_address(to.substr(0, colon)),
+                       static_cast<std::uint16_t>(std::stoi(to.substr(colon + 1)))},
+                      request, clock.now() + 60000);
+    }
+    void run() {
+        io.restart();
+        io.run_for(kPatience);
+    }
+    asio::io_context io{1};
+    Clock clock;
+    std::vector<Outcome> outcomes;
+    RequestId last = 0;
+    Upstream upstream;
+};
+
+// One that has only just answered may have more to say; one that is left alone is used again.
+TEST(Pool, AConnectionSettlesBeforeItIsUsedAgain) {
+    FakeServer server;
+    for (const bool settled : {false, true}) {
+        Bench bench({1000, 15000, 10, settled ? 0.0 : 10000.0});
+        const int before = server.connections();
+        bench.send(1, server.at());
+        bench.run();
+        bench.send(1, server.at());
+        bench.run();
+        EXPECT_EQ(bench.outcomes, std::vector<Outcome>(2, Outcome::completed));
+        EXPECT_EQ(server.connections() - before, settled ? 1 : 2);
+    }
+}
+
+// A server that was withdrawn while an answer was out leaves nothing behind, and thousands of them neither. A
+// new one at the same address begins with a connection of its own.
+TEST(Pool, NothingStaysOfServersThatAreGone) {
+    FakeServer server;
+    Bench bench({1000, 15000, 50, 0});
+    for (ServerId id = 1; id <= 2000; ++id) {
+        bench.send(id, server.at());
+        if (id % 2) bench.upstream.retire(id);  // with the attempt out
+        bench.run();
+        if (id % 2 == 0) {
+            EXPECT_EQ(bench.upstream.open(), 1u);
+            bench.upstream.withdraw_server(id);
+        }
+        ASSERT_EQ(bench.upstream.open(), 0u) << id;
+        ASSERT_EQ(bench.upstream.pools(), 0u) << id;
+        ASSERT_EQ(bench.upstream.out(), 0u) << id;
+    }
+    EXPECT_EQ(bench.outcomes, std::vector<Outcome>(2000, Outcome::completed));
+    EXPECT_EQ(server.connections(), 2000);
+}
+
+// A want of descriptors is the sidecar's own: no server is to be judged by it.
+TEST(Pool, NoRoomIsNoFaultOfTheServer) {
+    Silent silent;
+    Bench bench({60000, 15000, 1, 0});
+    bench.send(1, silent.at());
+    bench.send(2, silent.at());
+    EXPECT_EQ(bench.outcomes, std::vector<Outcome>{Outcome::superseded});
+    EXPECT_EQ(bench.upstream.open(), 1u);
+}
+
 TEST(Pool, IdleConnectionsGoBeforeTheServersLimit) {
     std::promise<bool> closed;
     FakeServer server([&](Wire& wire, const HttpRequest&, int) {
@@ -358,61 +518,200 @@
 // ---- Clients that send what can't be served
 // -----------------------------------------------------------------
 
-TEST(BadRequests, GetAnErrorAndReachNoServer) {
+struct Hostile {
+    const char* name;
+    std::string text;
+    unsigned status;
+    bool closes;  // what follows on the connection can't be trusted, or is not worth reading
+};
+void PrintTo(const Hostile& hostile, std::ostream* out) { *out << hostile.name; }
+
+std::string ask_with(const std::string& grade, const std::string& replace, const std::string& by) {
+    std::string text = App::request(grade);
+    const auto at = text.find(replace);
+    EXPECT_NE(at, std::string::npos) << replace;
+    return text.replace(at, replace.size(), by);
+}
+std::string deposit_with(const std::string& length) {
+    return ask_with("deposit", "Content-Length: 0\r\n\r\n", length + "\r\n");
+}
+
+std::vector<Hostile> hostile_requests() {
+    const std::string left = "X-Time-Left: 25000m";
+    const std::string kind = "X-Service-Class: listen";
+    std::string lines;
+    while (lines.size() < 40000) lines += "X-Pad: pppppppppppppppppppppppp\r\n";
+    return {
+        {"noise", "no http at all\r\n\r\n", 400, true},
+        {"tls", "\x16\x03\x01\x02\r\n\r\n", 400, true},
+        {"version", "GET / HTTP/9.9\r\n\r\n", 400, true},
+        {"old_version", "GET /listen HTTP/1.0\r\n\r\n", 505, true},
+        {"length_negative", deposit_with("Content-Length: -1\r\n"), 400, true},
+        {"length_signed", deposit_with("Content-Length: +0\r\n"), 400, true},
+        {"length_hex", deposit_with("Content-Length: 0x5\r\n"), 400, true},
+        {"length_empty", deposit_with("Content-Length:\r\n"), 400, true},
+        {"length_overflow", deposit_with("Content-Length: 99999999999999999999999\r\n"), 400, true},
+        {"length_huge", deposit_with("Content-Length: 60000000\r\n"), 413, true},
+        {"length_list", deposit_with("Content-Length: 3, 3\r\n") + "abc", 400, true},
+        {"length_twice", deposit_with("Content-Length: 3\r\nContent-Length: 3\r\n") + "abc", 400, true},
+        {"length_conflict", deposit_with("Content-Length: 3\r\nContent-Length: 4\r\n") + "abc", 400, true},
+        {"length_and_coding", deposit_with("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"), 400, true},
+        {"coding_and_length", deposit_with("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n"), 400, true},
+        {"length_and_other_coding", deposit_with("Content-Length: 0\r\nTransfer-Encoding: identity\r\n"), 400,
+         true},
+        {"coding_other", deposit_with("Transfer-Encoding: gzip\r\n"), 400, true},
+        {"coding_list", deposit_with("Transfer-Encoding: gzip, chunked\r\n") + "0\r\n\r\n", 400, true},
+        {"coding_odd", deposit_with("Transfer-Encoding: xchunked\r\n") + "0\r\n\r\n", 400, true},
+        {"coding_twice",
+         deposit_with("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n", 400,
+         true},
+        {"space_before_colon", deposit_with("Transfer-Encoding : chunked\r\n") + "0\r\n\r\n", 400, true},
+        {"chunk_unreadable", deposit_with("Transfer-Encoding: chunked\r\n") + "zz\r\n\r\n", 400, true},
+        {"chunk_huge", deposit_with("Transfer-Encoding: chunked\r\n") + "ffffffff\r\n", 413, true},
+        {"chunk_extension_endless",
+         deposit_with("Transfer-Encoding: chunked\r\n") + "1;" + std::string(40000, 'x'), 431, true},
+        {"trailer_second_id",
+         deposit_with("Transfer-Encoding: chunked\r\n") + "1\r\na\r\n0\r\nX-Correlation-Id: 2\r\n\r\n", 400,
+         true},
+        {"head_long_line", ask_with("listen", "\r\n\r\n", "\r\nX-Long: " + std::string(40000, 'x')), 431,
+         true},
+        {"head_endless_lines", ask_with("listen", "\r\n\r\n", "\r\n" + lines), 431, true},
+        {"class_unknown", ask_with("listen", kind, "X-Service-Class: remix"), 400, false},
+        {"class_missing", ask_with("listen", kind, "X-Other: 1"), 400, false},
+        {"class_twice", ask_with("listen", kind, kind + "\r\n" + kind), 400, false},
+        {"path_of_another", ask_with("listen", "GET /listen", "GET /deposit"), 400, false},
+        {"path_longer", ask_with("listen", "GET /listen", "GET /listener"), 400, false},
+        {"path_absolute", ask_with("listen", "GET /listen", "GET http://x/listen"), 400, false},
+        {"get_for_once", ask_with("deposit", "POST", "GET"), 405, false},
+        {"post_for_repeatable", ask_with("listen", "GET", "POST"), 405, false},
+        {"put", ask_with("deposit", "POST", "PUT"), 405, false},
+        {"get_with_body", ask_with("listen", "\r\n\r\n", "\r\nContent-Length: 3\r\n\r\nabc"), 400, true},
+        {"connect", "CONNECT other:80 HTTP/1.1\r\nHost: x\r\n\r\n", 405, false},
+        {"key_missing", ask_with("annotate", "Idempotency-Key: 5c0f\r\n", ""), 400, false},
+        {"key_twice",
+         ask_with("annotate", "Idempotency-Key: 5c0f\r\n",
+                  "Idempotency-Key: 5c0f\r\nIdempotency-Key: 5c10\r\n"),
+         400, false},
+        {"key_for_once", ask_with("deposit", left, left + "\r\nIdempotency-Key: 1"), 400, false},
+        {"id_missing", ask_with("listen", "X-Correlation-Id", "X-Id"), 400, false},
+        {"id_empty", ask_with("listen", "X-Correlation-Id: 9b1f", "X-Correlation-Id: \r\nX-Id: "), 400,
+         false},
+        {"id_twice", ask_with("listen", left, left + "\r\nX-Correlation-Id: 2"), 400, false},
+        {"time_word", ask_with("listen", left, "X-Time-Left: soon"), 400, false},
+        {"time_no_unit", ask_with("listen", left, "X-Time-Left: 500"), 400, false},
+        {"time_nan", ask_with("listen", left, "X-Time-Left: nanm"), 400, false},
+        {"time_infinite", ask_with("listen", left, "X-Time-Left: infm"), 400, false},
+        {"time_overflow", ask_with("listen", left, "X-Time-Left: 1e999m"), 400, false},
+        {"time_negative", ask_with("listen", left, "X-Time-Left: -5m"), 400, false},
+        {"time_missing", ask_with("listen", left, "X-Other: 1"), 400, false},
+        {"hint_nan", ask_with("listen", left, left + "\r\nX-Weight-Hint: nan"), 400, false},
+    };
+}
+
+class HostileRequests : public testing::TestWithParam<Hostile> {};
+
+// Turned away with what fits, it reaches no server, and the sidecar serves on.
+TEST_P(HostileRequests, AreTurnedAwayAndReachNoServer) {
+    const Hostile& hostile = GetParam();
     FakeServer server;
     Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
-    const std::string start =
-        "POST /deposit HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 1\r\nX-Service-Class: deposit\r\n";
-    const std::string whole = start + "X-Time-Left: 500m\r\n";
-    for (const std::string& text : std::vector<std::string>{
-             "no http at all\r\n\r\n",
-             "GET / HTTP/9.9\r\n\r\n",
-             whole + "Content-Length: -1\r\n\r\n",
-             whole + "Content-Length: 99999999999999999999999\r\n\r\n",
-             whole + "Content-Length: 70000\r\n\r\n" + std::string(70000, 'x'),
-             whole + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-             whole + "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
-             whole + "X-Long: " + std::string(20000, 'x') + "\r\n\r\n",
-             start + "X-Time-Left: soon\r\nContent-Length: 0\r\n\r\n",
-             start + "X-Time-Left: 500\r\nContent-Length: 0\r\n\r\n",
-             start + "X-Time-Left: nanm\r\nContent-Length: 0\r\n\r\n",
-             start + "X-Time-Left: -5m\r\nContent-Length: 0\r\n\r\n",
-             start + "Content-Length: 0\r\n\r\n",
-             whole + "X-Correlation-Id: 2\r\nContent-Length: 0\r\n\r\n",
-             "POST /deposit HTTP/1.1\r\nX-Service-Class: deposit\r\nX-Time-Left: 500m\r\nContent-Length: "
-             "0\r\n\r\n",
-             "CONNECT other:80 HTTP/1.1\r\nHost: x\r\n\r\n",
-         }) {
+    {
         App app(sidecar.at);
-        const unsigned status = app.ask(text).result_int();
-        EXPECT_TRUE(status >= 400 && status < 500) << status << " for " << text.substr(0, 200);
+        const HttpResponse response = app.ask(hostile.text);
+        EXPECT_EQ(response.result_int(), hostile.status);
+        EXPECT_EQ(response.keep_alive(), !hostile.closes);
+        if (hostile.closes)
+            app.wire.rest();  // comes to an end
+        else
+            EXPECT_EQ(app.ask(App::request("listen")).result_int(), 200u) << "it is used on";
     }
-    EXPECT_TRUE(server.seen().empty());
+    EXPECT_EQ(server.seen().size(), hostile.closes ? 0u : 1u);
     App app(sidecar.at);
     EXPECT_EQ(app.ask(App::request("deposit")).result_int(), 200u);
 }
 
-TEST(BadRequests, PipelinedOnesAreServedInTurn) {
+INSTANTIATE_TEST_SUITE_P(All, HostileRequests, testing::ValuesIn(hostile_requests()),
+                         [](const auto& info) { return info.param.name; });
+
+TEST(BadRequests, PlainChunksAreServedWithALength) {
     FakeServer server;
     Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
     App app(sidecar.at);
-    app.wire.write(App::request("listen") + App::request("deposit", "25000m", "x"));
-    EXPECT_EQ(app.answer().result_int(), 200u);
-    EXPECT_EQ(app.answer().result_int(), 200u);
-    EXPECT_EQ(server.seen().size(), 2u);
+    EXPECT_EQ(app.ask(deposit_with("Transfer-Encoding: chunked\r\n") + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+                  .result_int(),
+              200u);
+    EXPECT_EQ(server.seen().at(0).body(), "abcde");
+    EXPECT_EQ(server.seen().at(0)["Content-Length"], "5");
+    EXPECT_EQ(server.seen().at(0).count("Transfer-Encoding"), 0u);
+}
+
+// The id of a request that is still open: a server would take the second for the first's repeat.
+TEST(BadRequests, AnOpenIdIsNotTakenTwice) {
+    std::promise<void> go;
+    std::shared_future<void> gone = go.get_future().share();
+    FakeServer server(
+        [&](Wire& wire, const HttpRequest&, int) { return gone.wait(), wire.respond(200, "fine"), true; });
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App first(sidecar.at), thief(sidecar.at);
+    const std::string text = App::request("deposit");
+    first.wire.write(text);
+    ASSERT_TRUE(server.wait_for(1));
+    EXPECT_EQ(thief.ask(text).result_int(), 409u);
+    go.set_value();
+    EXPECT_EQ(first.answer().result_int(), 200u);
+    EXPECT_EQ(server.seen().size(), 1u);
 }
 
-// A keyed class without its key is not known to be safe to repeat.
-TEST(BadRequests, AMissingKeyMeansMostCare) {
-    FakeServer server(kError);
+// What a server turns away as unfit is unfit everywhere: it is not tried again, nor held against that server.
+TEST(BadRequests, AServersOwn4xxIsFinal) {
+    FakeServer server([](Wire& w, const HttpRequest&, int) { return w.respond(404), true; });
     Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
     App app(sidecar.at);
-    std::string text = App::request("annotate");
-    text.erase(text.find("Idempotency-Key"), std::string("Idempotency-Key: 5c0f\r\n").size());
-    EXPECT_EQ(app.ask(text).result_int(), 502u);
+    for (int i = 0; i < 30; ++i) ASSERT_EQ(app.ask(App::request("listen")).result_int(), 404u) << i;
+    EXPECT_EQ(server.seen().size(), 30u);
+}
+
+// Neither silence nor half a request holds a connection for long.
+TEST(BadRequests, TheSlowAreToldOffWithinThreeSeconds) {
+    Running sidecar(a_config(kNowhere, {host("s1", kNowhere)}));
+    App silent(sidecar.at), half(sidecar.at);
+    half.wire.write("POST /deposit HTTP/1.1\r\nHost: x\r\n");
+    const auto start = steady_clock::now();
+    EXPECT_EQ(half.answer().result_int(), 408u);
+    EXPECT_TRUE(silent.wire.ended());
+    EXPECT_LT(seconds_since(start), 20);  // 3 s on a machine that is not stalled; 30 s is the rig's patience
+}
+
+// What comes ahead of its turn must not hide that the client has left.
+TEST(BadRequests, APipeliningClientThatLeavesIsNoticed) {
+    std::promise<bool> closed;
+    FakeServer server([&](Wire& wire, const HttpRequest&, int) {
+        closed.set_value(wire.ended());
+        return false;
+    });
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    const auto start = steady_clock::now();
+    {
+        App app(sidecar.at);
+        app.wire.write(App::request("listen"));
+        ASSERT_TRUE(server.wait_for(1));
+        app.wire.write(App::request("listen"));
+    }
+    EXPECT_TRUE(closed.get_future().get());
+    EXPECT_LT(seconds_since(start), 20);
     EXPECT_EQ(server.seen().size(), 1u);
 }
 
+TEST(BadRequests, PipelinedOnesAreServedInTurn) {
+    FakeServer server;
+    Running sidecar(a_config(kNowhere, {host("s1", server.at())}));
+    App app(sidecar.at);
+    app.wire.write(App::request("listen") + App::request("deposit", "25000m", "x"));
+    EXPECT_EQ(app.answer().result_int(), 200u);
+    EXPECT_EQ(app.answer().result_int(), 200u);
+    EXPECT_EQ(server.seen().size(), 2u);
+}
+
 // ---- Limits
 // -------------------------------------------------------------------------------------------------
 
@@ -428,6 +727,43 @@
     }
 }
 
+// Those that say nothing go first: the ones in use keep their connections.
+TEST(Limits, SilentOnesMakeRoomBeforeTheUsed) {
+    FakeServer server;
+    json config = a_config(kNowhere, {host("s1", server.at())});
+    config["limits"]["sockets"] = 64;
+    Running sidecar(config);
+    App usual(sidecar.at);
+    ASSERT_EQ(usual.ask(App::request("listen")).result_int(), 200u);
+    std::list<App> silent;
+    for (int i = 0; i < 100; ++i) silent.emplace_back(sidecar.at);
+    App late(sidecar.at);
+    EXPECT_EQ(late.ask(App::request("listen")).result_int(), 200u);
+    EXPECT_EQ(usual.ask(App::request("listen")).result_int(), 200u);
+}
+
+// Bodies are bounded all together, and their room comes back.
+TEST(Limits, BodiesShareTheMemory) {
+    std::promise<void> go;
+    std::shared_future<void> gone = go.get_future().share();
+    FakeServer server(
+        [&](Wire& wire, const HttpRequest&, int) { return gone.wait(), wire.respond(200, "fine"), true; });
+    json config = a_config(kNowhere, {host("s1", server.at())});
+    config["limits"] = {{"sockets", 256}, {"memory_mb", 1}};  // room for one body of full size
+    Running sidecar(config);
+    const std::string body(60000, 'x');
+    App first(sidecar.at), second(sidecar.at), small(sidecar.at);
+    first.wire.write(App::request("deposit", "25000m", body));
+    ASSERT_TRUE(server.wait_for(1));
+    EXPECT_EQ(second.ask(App::request("deposit", "25000m", body)).result_int(), 503u);
+    small.wire.write(App::request("listen"));
+    ASSERT_TRUE(server.wait_for(2));
+    go.set_value();
+    EXPECT_EQ(first.answer().result_int(), 200u);
+    EXPECT_EQ(small.answer().result_int(), 200u);
+    EXPECT_EQ(first.ask(App::request("deposit", "25000m", body)).result_int(), 200u);
+}
+
 // With all others busy, a new client's connection must live until its request has come.
 TEST(Limits, ABusyHouseDoesNotTurnOutTheNewest) {
     std::promise<void> go;
