--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -21,6 +21,8 @@
     // The file of the configuration has changed. Only discovery's address is taken from it.
     void reload();
 
+    Sidecar::Held held() const { return sidecar_.held(); }
+
 private:
     void wind_down();
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -34,6 +34,12 @@
     if (config_.known) told(*config_.known, true);
 }
 
+Sidecar::Held Sidecar::held() const {
+    const Balancer::Held module = balancer_.held();
+    return {requests_.size() + module.requests, upstream_.out(), servers_.size(), module.servers,
+            upstream_.pools()};
+}
+
 // ---- Events
 // -------------------------------------------------------------------------------------------------
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -48,6 +48,12 @@
     bool holds_list() const { return holds_list_; }
     std::size_t unanswered() const { return unanswered_; }
     const Config& config() const { return config_; }
+    // What is held at present, here, on the sockets and in the module. At rest no request is, and of servers
+    // only those listed.
+    struct Held {
+        std::size_t requests = 0, attempts = 0, servers = 0, records = 0, pools = 0;
+    };
+    Held held() const;
 
 private:
     struct Request {
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -268,6 +268,11 @@
     void reload() {
         asio::post(io_, [this] { node_.reload(); });
     }
+    Sidecar::Held held() {
+        std::promise<Sidecar::Held> promise;
+        asio::post(io_, [&] { promise.set_value(node_.held()); });
+        return promise.get_future().get();
+    }
     void stop(std::function<void()> done) {
         asio::post(io_, [this, done] { node_.stop(done); });
     }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -453,6 +453,49 @@
     EXPECT_TRUE(closed.get_future().get());
 }
 
+// What the module believes to be out and what is on the sockets are the same at rest, however attempts ended,
+// and nothing is kept of thousands of servers that have come and gone. The module keeps a server while it
+// believes that something is out to it.
+TEST(Pool, AtRestNothingIsOutAndOnlyTheListedAreKept) {
+    FakeServer mixed([](Wire& wire, const HttpRequest&, int number) {
+        if (number % 5 == 0) return wire.reset(), false;
+        if (number % 5 == 1) return wire.write("ICY 200 OK\r\n\r\n"), true;
+        if (number % 5 == 2) return wire.respond(500), true;
+        if (number % 5 == 3) return wire.ended(), false;  // until it is given up
+        return wire.respond(200, "fine"), true;
+    });
+    FakeDiscovery discovery;
+    Running sidecar(a_config(discovery.at(), {host("s1", mixed.at())}));
+    const auto wait_for = [&](const auto& reached) {
+        const auto start = steady_clock::now();
+        while (!reached(sidecar.held())) {
+            if (seconds_since(start) > 30) return false;
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        return true;
+    };
+    int seq = 5;
+    for (int round = 0; round < 5; ++round) {
+        App app(sidecar.at);
+        for (int i = 0; i < 5; ++i) app.ask(App::request("deposit", "100m"));
+        app.wire.write(App::request("deposit", "100m"));  // and leaves
+        std::vector<json> come, go;
+        for (int i = 0; i < 500; ++i) {
+            const std::string name = std::to_string(round * 500 + i);
+            come.push_back(host(name, kNowhere));
+            go.push_back(host(name, kNowhere, "DELETED"));
+        }
+        discovery.say(++seq, false, come);
+        ASSERT_TRUE(wait_for([](const Sidecar::Held& h) { return h.servers == 501 && h.records == 501; }));
+        discovery.say(++seq, false, go);
+        ASSERT_TRUE(wait_for([](const Sidecar::Held& h) { return h.servers == 1 && h.records == 1; }));
+    }
+    EXPECT_TRUE(wait_for([](const Sidecar::Held& h) { return h.requests == 0 && h.attempts == 0; }));
+    discovery.say(++seq, true, {host("s2", mixed.at())});
+    EXPECT_TRUE(
+        wait_for([](const Sidecar::Held& h) { return h.servers == 1 && h.records == 1 && h.pools == 0; }));
+}
+
 // ---- Discovery -------------------------------------------------------------------------------------------
 
 TEST(Watch, SurvivesGarbageOldListsAndDowntime) {
