Close with the answer while the house is nearly full: clients that ask once and stay blocked the next

Checked: two seconds of one node's sockets: 97 answers, all 200, no 503 sent, most accepts without effect; so it was the listener's house (218 places) and not the module. Idle ones may not go for 2 s, at over 100 new connections a second they fill it. Ruled out: CPU (0.08 s in a second), servers, the room for bodies in those two seconds. Line at fault: listener.cpp write() kept every connection however full the house. With seven eighths taken the answer now says Connection: close. Test: Limits.ANearlyFullHouseKeepsNoConnectionAfterItsAnswer.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -236,7 +236,8 @@
         until_ = owner_.clock_.now() + kWriteTime;
         out_ = std::move(response);
         out_.version(11);
-        keep = keep && !owner_.draining_;
+        // In a house nearly full, one that asks once and stays would keep the next from being taken at all.
+        keep = keep && !owner_.draining_ && !owner_.crowded();
         out_.keep_alive(keep);
         out_.prepare_payload();
         http::async_write(socket_, out_, [this, self = shared_from_this(), keep](error_code ec, std::size_t) {
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -42,6 +42,7 @@
     void admit(tcp::socket socket);
     void closed(Session& session);
     void sweep();
+    bool crowded() const { return sessions_.size() * 8 > limits_.connections * 7; }
     bool ready() const { return ready_ && !draining_ && sidecar_.holds_list(); }
 
     asio::io_context& io_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -770,6 +770,24 @@
     }
 }
 
+// Nearly full, it says with the answer that the connection closes: none is idle there and kept from the next.
+TEST(Limits, ANearlyFullHouseKeepsNoConnectionAfterItsAnswer) {
+    FakeServer server;
+    json config = a_config(kNowhere, {host("s1", server.at())});
+    config["limits"]["sockets"] = 64;
+    Running sidecar(config);
+    std::list<App> apps;
+    bool kept = true;
+    for (int i = 0; i < 40 && kept; ++i) {
+        apps.emplace_back(sidecar.at);
+        const HttpResponse response = apps.back().ask(App::request("listen"));
+        ASSERT_EQ(response.result_int(), 200u) << i;
+        kept = response.keep_alive();
+    }
+    EXPECT_FALSE(kept);
+    EXPECT_GT(apps.size(), 10U);
+}
+
 // Those that say nothing go first: the ones in use keep their connections.
 TEST(Limits, SilentOnesMakeRoomBeforeTheUsed) {
     FakeServer server;
