Close with the answer before clients' kept connections fill what clients may hold

Ones that never asked are another account with a bound of their own. Both rules have a loopback test that fails without them.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -36,12 +36,16 @@
     enum class State { idle, reading, waiting, writing, lingering, closed };
 
     Session(Listener& owner, tcp::socket socket)
-        : owner_(owner), socket_(std::move(socket)), since_(owner.clock_.now()) {}
+        : owner_(owner), socket_(std::move(socket)), since_(owner.clock_.now()) {
+        owner_.book(account_, 1);
+    }
 
     State state() const { return state_; }
     // An idle one that has nothing in the kernel either: closing it takes no request away.
     bool quiet() { return state_ == State::idle && in_.size() == 0 && peek(socket_) != Quiet::bytes; }
 
+    Account account() const { return account_; }
+
     // Which go first to make room for another, the least first; kStays: it does not go.
     static constexpr int kStays = 4;
     int rank(Millis now) const {
@@ -70,7 +74,7 @@
     void close() {
         if (state_ == State::closed) return;
         const State before = state_;
-        state_ = State::closed;
+        enter(State::closed);
         error_code ignored;
         socket_.close(ignored);
         release();
@@ -87,8 +91,18 @@
     Sessions::iterator place;
 
 private:
+    void enter(State state) {
+        state_ = state;
+        owner_.book(account_, std::size_t(-1));
+        account_ = state == State::lingering || state == State::closed ? Account::none
+                   : new_                                              ? Account::silent
+                   : state == State::idle                              ? Account::kept
+                                                                       : Account::busy;
+        owner_.book(account_, 1);
+    }
+
     void idle() {
-        state_ = State::idle;
+        enter(State::idle);
         until_ = 0;
         since_ = owner_.clock_.now();
         if (owner_.stopped_ && quiet()) return close();
@@ -139,7 +153,7 @@
     }
 
     void begin() {
-        state_ = State::reading;
+        enter(State::reading);
         began_ = owner_.clock_.now();
         if (until_ == 0) until_ = began_ + kReadTime;
         parser_.emplace();
@@ -214,7 +228,7 @@
             std::min(*parse_time_left((*request)["X-Time-Left"]), owner_.sidecar_.config().longest_deadline);
         strip_hop_by_hop(*request);
         request->prepare_payload();
-        state_ = State::waiting;
+        enter(State::waiting);
         until_ = 0;
         id_ = owner_.sidecar_.arrived(std::move(request), std::max(0.0, left - spent - kAnswerMargin),
                                       weak_from_this());
@@ -230,13 +244,13 @@
     void reject(http::status status) { write(HttpResponse(status, 11), false); }
 
     void write(HttpResponse response, bool keep) {
-        state_ = State::writing;
+        enter(State::writing);
         release();
         parser_.reset();
         until_ = owner_.clock_.now() + kWriteTime;
         out_ = std::move(response);
         out_.version(11);
-        // In a house nearly full, one that asks once and stays would keep the next from being taken at all.
+        // One that asks once and stays for good would keep the next from asking at all.
         keep = keep && !owner_.draining_ && !owner_.crowded();
         out_.keep_alive(keep);
         out_.prepare_payload();
@@ -251,7 +265,7 @@
 
     // Closed with bytes unread, the kernel would reset the connection and the answer with it.
     void linger() {
-        state_ = State::lingering;
+        enter(State::lingering);
         since_ = owner_.clock_.now();
         until_ = since_ + kLingerTime;
         error_code ec;
@@ -263,6 +277,7 @@
     Listener& owner_;
     tcp::socket socket_;
     State state_ = State::idle;
+    Account account_ = Account::silent;
     bool receiving_ = false;
     bool new_ = true;    // no request has come whole and good yet
     bool left_ = false;  // the client has, while its answer was written
@@ -320,27 +335,35 @@
     });
 }
 
-bool Listener::make_room() {
+// Closes the first by rank of those wanted that may go; false if there is none.
+template <class Wanted>
+bool Listener::let_go(Wanted wanted) {
     const Millis now = clock_.now();
     std::shared_ptr<Session> first;
     int rank = Session::kStays;
     for (const auto& session : sessions_) {  // those quiet longest come first
         const int own = session->rank(now);
-        if (own >= rank || (session->state() == Session::State::idle && !session->quiet())) continue;
+        if (own >= rank || !wanted(session->account())) continue;
+        if (session->state() == Session::State::idle && !session->quiet()) continue;
         first = session, rank = own;
         if (rank == 0) break;
     }
     if (!first) return false;
-    accepting_ = true;  // not from within its closing
+    const bool accepting = std::exchange(accepting_, true);  // not from within its closing
     first->close();
-    accepting_ = false;
+    accepting_ = accepting;
     return true;
 }
 
+bool Listener::make_room() {
+    return let_go([](Account) { return true; });
+}
+
 void Listener::admit(tcp::socket socket) {
     auto session = std::make_shared<Session>(*this, std::move(socket));
     session->place = sessions_.insert(sessions_.end(), session);
     session->start();
+    if (too_silent()) let_go([](Account account) { return account == Account::silent; });
 }
 
 void Listener::closed(Session& session) {
@@ -358,6 +381,10 @@
         for (const auto& session : sessions_)
             if (session->is_due(now)) due.push_back(session);
         for (const auto& session : due) session->time_is_up();
+        while (crowded() && let_go([](Account account) { return account == Account::kept; })) {
+        }
+        while (too_silent() && let_go([](Account account) { return account == Account::silent; })) {
+        }
         accept();
         sweep();
     });
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -1,6 +1,8 @@
 // Clients' connections: reads requests, hands them to the sidecar and writes the answers.
 #pragma once
 
+#include <algorithm>
+#include <array>
 #include <functional>
 #include <list>
 #include <memory>
@@ -16,6 +18,7 @@
 public:
     struct Limits {
         std::size_t connections = 400;
+        std::size_t clients_hold = 300;     // the most that the clients' end holds for requests
         std::size_t body_bytes = 16 << 20;  // of all requests held at a time
     };
     Listener(asio::io_context& io, const Clock& clock, Sidecar& sidecar, Limits limits);
@@ -37,12 +40,34 @@
     class Session;
     using Sessions = std::list<std::shared_ptr<Session>>;
 
+    // What a connection is held for. Lingering and closed ones are held for nobody.
+    enum class Account { silent, kept, busy, none };
+    static constexpr std::size_t kAccounts = 3;  // but for none, which is not counted
+    void book(Account account, std::size_t more) {
+        if (account != Account::none) held_[static_cast<std::size_t>(account)] += more;
+    }
+
     void accept();
     bool make_room();
+    template <class Wanted>
+    bool let_go(Wanted wanted);
     void admit(tcp::socket socket);
     void closed(Session& session);
     void sweep();
-    bool crowded() const { return sessions_.size() * 8 > limits_.connections * 7; }
+    std::size_t held(Account account) const { return held_[static_cast<std::size_t>(account)]; }
+    // Clients hold only so many connections, and a new request that finds no place at their end never gets
+    // here. So of the places that open requests leave them, half at most may be taken by connections kept
+    // between requests: past that an answer closes its connection. Ones that never asked are not counted in:
+    // they have the account below.
+    bool crowded() const {
+        return held(Account::kept) * 2 + held(Account::busy) > limits_.clients_hold ||
+               sessions_.size() * 8 > limits_.connections * 7;
+    }
+    // Ones that never asked must not take the places that clients' requests have a claim to.
+    bool too_silent() const {
+        return held(Account::silent) + std::min(limits_.clients_hold, limits_.connections * 3 / 4) >
+               limits_.connections;
+    }
     bool ready() const { return ready_ && !draining_ && sidecar_.holds_list(); }
 
     asio::io_context& io_;
@@ -51,9 +76,10 @@
     Limits limits_;
     tcp::acceptor acceptor_;
     asio::steady_timer retry_, sweep_;
-    Sessions sessions_;                     // those quiet longest come first
-    std::unordered_set<std::string> open_;  // ids of the requests that await their answer
-    std::size_t body_bytes_ = 0;            // claimed by requests held
+    Sessions sessions_;                          // those quiet longest come first
+    std::array<std::size_t, kAccounts> held_{};  // connections, by account
+    std::unordered_set<std::string> open_;       // ids of the requests that await their answer
+    std::size_t body_bytes_ = 0;                 // claimed by requests held
     bool ready_ = false;
     bool draining_ = false;
     bool accepting_ = false;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t kSpare = 32;
 // Of the rest, more for clients than for servers: clients also hold idle ones and ones that say nothing.
 constexpr double kForClients = 0.62;
+// Clients' machines hold a third of the limit at most for their requests, by the platform's word.
+constexpr std::size_t kClientsHold = 3;
 // Of the memory, for the bodies of requests held. Each is there up to three times: read, kept, and on its
 // way.
 constexpr std::size_t kBodyPart = 12;
@@ -45,6 +47,7 @@
                 kSettle}),
       listener_(io, clock_, sidecar_,
                 {from_clients(config_) - 1,  // it takes one over the limit
+                 config_.sockets / kClientsHold,
                  std::max<std::size_t>(kMaxBody, (config_.memory_mb << 20) / kBodyPart)}),
       discovery_(io, config_,
                  {[this](const HostList& list) { sidecar_.told(list); }, [this] { sidecar_.list_failed(); }}),
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -770,22 +770,45 @@
     }
 }
 
-// Nearly full, it says with the answer that the connection closes: none is idle there and kept from the next.
-TEST(Limits, ANearlyFullHouseKeepsNoConnectionAfterItsAnswer) {
+// Clients hold a third of the descriptors at most. Ones that ask once and stay would fill that part long
+// before the house itself is full, and the next client would find no place at its own end: it must be told to
+// close before that.
+TEST(Limits, ClientsThatAskOnceAndStayLeaveRoomForTheNext) {
     FakeServer server;
     json config = a_config(kNowhere, {host("s1", server.at())});
-    config["limits"]["sockets"] = 64;
+    config["limits"]["sockets"] = 96;
+    constexpr std::size_t kClientsHold = 96 / 3;
     Running sidecar(config);
-    std::list<App> apps;
-    bool kept = true;
-    for (int i = 0; i < 40 && kept; ++i) {
-        apps.emplace_back(sidecar.at);
-        const HttpResponse response = apps.back().ask(App::request("listen"));
+    std::list<App> stay;
+    for (int i = 0; i < 100; ++i) {
+        ASSERT_LT(stay.size(), kClientsHold) << "client " << i << " finds no place to ask from";
+        stay.emplace_back(sidecar.at);
+        const HttpResponse response = stay.back().ask(App::request("listen"));
+        ASSERT_EQ(response.result_int(), 200u) << i;
+        if (!response.keep_alive()) stay.pop_back();
+    }
+    EXPECT_GT(stay.size(), kClientsHold / 4);  // and up to there they are kept
+}
+
+// Silent ones have a bound of their own, and are not counted against those who ask: these keep theirs.
+TEST(Limits, SilentOnesNeitherFillTheHouseNorCloseOthersConnections) {
+    FakeServer server;
+    json config = a_config(kNowhere, {host("s1", server.at())});
+    config["limits"]["sockets"] = 128;
+    Running sidecar(config);
+    App usual(sidecar.at);
+    ASSERT_EQ(usual.ask(App::request("listen")).result_int(), 200u);
+    std::list<App> silent;
+    for (int i = 0; i < 30; ++i) {
+        silent.emplace_back(sidecar.at);
+        const HttpResponse response = usual.ask(App::request("listen"));
         ASSERT_EQ(response.result_int(), 200u) << i;
-        kept = response.keep_alive();
+        ASSERT_TRUE(response.keep_alive()) << i;
     }
-    EXPECT_FALSE(kept);
-    EXPECT_GT(apps.size(), 10U);
+    // Of room for 58 connections, 42 are for those who ask; more than 16 silent ones are not kept.
+    // Not just because their time is up, for then the last would be gone with the first.
+    EXPECT_TRUE(silent.front().wire.ended());
+    EXPECT_EQ(silent.back().ask(App::request("listen")).result_int(), 200u);
 }
 
 // Those that say nothing go first: the ones in use keep their connections.
