--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,7 +7,7 @@
 #include "net/node.hpp"
 
 int main() {
-    using namespace kelplb::net;
+    using namespace cobaltshift;
     std::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may leave; the sidecar serves on
     try {
         asio::io_context io(1);
--- a/src/names.hpp
+++ b/src/names.hpp
@@ -4,9 +4,9 @@
 
 #include <string_view>
 
-#include "kelplb/balancer.hpp"
+#include "module.hpp"
 
-namespace kelplb {
+namespace cobaltshift {
 
 // FNV-1a of the name. `taken(id)` tells whether another server has that number already: the next free one is
 // used then, and peers mean another server by it, which costs a tie.
@@ -18,4 +18,4 @@
     return id;
 }
 
-}  // namespace kelplb
+}  // namespace cobaltshift
--- a/src/net/clock.hpp
+++ b/src/net/clock.hpp
@@ -4,9 +4,9 @@
 
 #include <chrono>
 
-#include "kelplb/balancer.hpp"
+#include "module.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 class Clock {
 public:
@@ -23,4 +23,4 @@
     Millis unix_start_ = Duration(std::chrono::system_clock::now().time_since_epoch()).count();
 };
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -9,7 +9,7 @@
 
 #include "settings.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 namespace {
 
@@ -237,4 +237,4 @@
     return Field(&value, "")["discovery"].endpoint<tcp>();
 }
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
-#include "kelplb/balancer.hpp"
+#include "module.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 using boost::asio::ip::tcp;
 using boost::asio::ip::udp;
@@ -69,4 +69,4 @@
 // changed.
 tcp::endpoint reload_discovery();
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -5,7 +5,7 @@
 
 #include "net/log.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 namespace {
 constexpr int kWaitMs = 20000;
@@ -130,4 +130,4 @@
     });
 }
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -9,7 +9,7 @@
 #include "net/config.hpp"
 #include "net/http.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 class Discovery {
 public:
@@ -44,4 +44,4 @@
     bool fetch_ = false;
 };
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/form.cpp
+++ b/src/net/form.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <cmath>
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 namespace {
 
@@ -81,4 +81,4 @@
     return {};
 }
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/form.hpp
+++ b/src/net/form.hpp
@@ -7,7 +7,7 @@
 #include "net/config.hpp"
 #include "net/http.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 // "480m" or "480000u"; nothing else.
 std::optional<Millis> parse_time_left(beast::string_view text);
@@ -19,4 +19,4 @@
 // Method, path, key and figures that don't fit the class, or no class at all.
 std::optional<http::status> form_fault(const HttpRequest& request, const Config& config);
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -64,4 +64,4 @@
                                                                                 : Quiet::ended;
 }
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -3,7 +3,7 @@
 #include "net/form.hpp"
 #include "net/log.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 namespace {
 
@@ -412,4 +412,4 @@
 
 bool Listener::busy() const { return !sessions_.empty(); }
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -12,7 +12,7 @@
 #include "net/http.hpp"
 #include "net/sidecar.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 class Listener {
 public:
@@ -87,4 +87,4 @@
     bool stopped_ = false;
 };
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -7,7 +7,7 @@
 #include <iostream>
 #include <string>
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 inline void log_line(const std::string& text) {
     using Clock = std::chrono::steady_clock;
@@ -31,4 +31,4 @@
     std::cerr << "cobaltshift: " << line << std::endl;
 }
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -6,7 +6,7 @@
 
 #include "net/log.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 namespace {
 
@@ -93,4 +93,4 @@
     });
 }
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -8,7 +8,7 @@
 #include "net/listener.hpp"
 #include "net/peers.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 class Node {
 public:
@@ -38,4 +38,4 @@
     Millis stop_at_ = 0;
 };
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -4,7 +4,7 @@
 
 #include "net/log.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 Peers::Peers(asio::io_context& io, const Config& config, Heard heard)
     : config_(config), heard_(std::move(heard)), socket_(io, *config.peer_listen) {
@@ -31,4 +31,4 @@
     });
 }
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/peers.hpp
+++ b/src/net/peers.hpp
@@ -9,7 +9,7 @@
 #include "net/config.hpp"
 #include "net/http.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 class Peers {
 public:
@@ -29,4 +29,4 @@
     std::array<std::uint8_t, kLongest + 1> bytes_{};  // one more shows what is over-long
 };
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -10,7 +10,7 @@
 #include "net/log.hpp"
 #include "net/peers.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 Sidecar::Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits)
     : io_(io),
@@ -283,4 +283,4 @@
     log_line((at == servers_.end() ? std::string() : at->second.name + " ") + a.text);
 }
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -11,13 +11,13 @@
 #include <unordered_map>
 #include <vector>
 
-#include "kelplb/balancer.hpp"
+#include "module.hpp"
 #include "net/clock.hpp"
 #include "net/config.hpp"
 #include "net/http.hpp"
 #include "net/upstream.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 class Discovery;
 class Peers;
@@ -131,4 +131,4 @@
     bool holds_list_ = false;
 };
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -4,7 +4,7 @@
 
 #include "net/log.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 namespace {
 constexpr std::size_t kReadSize = 4096;
@@ -339,4 +339,4 @@
     for (const LinkPtr& link : links) drop(link);
 }
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -9,11 +9,11 @@
 #include <string>
 #include <unordered_map>
 
-#include "kelplb/balancer.hpp"
+#include "module.hpp"
 #include "net/clock.hpp"
 #include "net/http.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 struct AttemptKey {
     RequestId id = 0;
@@ -88,4 +88,4 @@
     std::size_t open_ = 0;
 };
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/src/simhost.cpp
+++ b/src/simhost.cpp
@@ -5,5 +5,5 @@
 
 int main() {
     std::ios::sync_with_stdio(false);
-    return kelplb::wire::Host(std::cin, std::cout, std::cerr).run();
+    return cobaltshift::wire::Host(std::cin, std::cout, std::cerr).run();
 }
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -8,7 +8,7 @@
 
 #include "names.hpp"
 
-namespace kelplb::wire {
+namespace cobaltshift::wire {
 
 namespace {
 
@@ -495,4 +495,4 @@
     reply_ += '\n';
 }
 
-}  // namespace kelplb::wire
+}  // namespace cobaltshift::wire
--- a/src/wire.hpp
+++ b/src/wire.hpp
@@ -12,9 +12,9 @@
 #include <utility>
 #include <vector>
 
-#include "kelplb/balancer.hpp"
+#include "module.hpp"
 
-namespace kelplb::wire {
+namespace cobaltshift::wire {
 
 // A line that can't be read; what() names line number, message and field.
 struct WireError : std::runtime_error {
@@ -97,4 +97,4 @@
     std::vector<Action> actions_;
 };
 
-}  // namespace kelplb::wire
+}  // namespace cobaltshift::wire
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -19,7 +19,7 @@
 
 #include "net/node.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 
 using nlohmann::json;
 constexpr std::chrono::seconds kPatience{30};
@@ -320,4 +320,4 @@
     static inline asio::io_context io_;
 };
 
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -5,7 +5,7 @@
 
 #include "net_rig.hpp"
 
-namespace kelplb::net {
+namespace cobaltshift {
 namespace {
 
 using std::chrono::steady_clock;
@@ -1007,4 +1007,4 @@
 }
 
 }  // namespace
-}  // namespace kelplb::net
+}  // namespace cobaltshift
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -5,7 +5,7 @@
 
 #include <sstream>
 
-namespace kelplb::wire {
+namespace cobaltshift::wire {
 namespace {
 
 const std::string start_line =
@@ -174,4 +174,4 @@
 }
 
 }  // namespace
-}  // namespace kelplb::wire
+}  // namespace cobaltshift::wire
