--- /dev/null
+++ b/src/lab/archive.hpp
@@ -0,0 +1,101 @@
+// A stand-in archive server: real sockets, modelled work. It has slots and a waiting room, starts cold, can
+// crash, come back, freeze, drain and fail quickly, and counts what it ran in a ledger that all servers of a
+// fleet share, so that an effect that happened twice is seen wherever its two runs were.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "lab/http_server.hpp"
+#include "net/clock.hpp"
+#include "random.hpp"
+
+namespace cobaltshift::lab {
+
+// What the fleet has run, by what it was about.
+class Ledger {
+public:
+    // An unsafe request that began to run. `about`: what the client wanted done, the same for its retries.
+    void ran_once(const std::string& about) {
+        if (++once_[about] > 1) ++doubled_;
+    }
+    // A keyed request; false: a repeat within the window, dropped.
+    bool ran_keyed(const std::string& key, Millis now, Millis window);
+    void ran_safe() { ++safe_; }
+    std::size_t doubled() const { return doubled_; }
+    std::size_t runs() const { return safe_ + once_.size() + keyed_.size() + doubled_; }
+
+private:
+    std::unordered_map<std::string, unsigned> once_;
+    std::unordered_map<std::string, Millis> keyed_;
+    std::size_t safe_ = 0, doubled_ = 0;
+};
+
+class Archive {
+public:
+    struct Options {
+        std::string name;
+        std::string hall;
+        std::size_t slots = 4;  // requests in work at a time
+        std::size_t queue = 32;
+        Millis work = 20;        // mean of a request's, exponential
+        double cold_from = 0.3;  // of its capacity just after a start, rising evenly
+        Millis warm_within = 8000;
+        Millis dedup_window = 3000;
+        double fall_multiple = 3;  // of what it can do, over the window: more is pushing it over
+        Millis fall_window = 2000;
+        std::uint64_t seed = 1;
+    };
+    Archive(asio::io_context& io, const Clock& clock, Ledger& ledger, Options options);
+
+    const Options& options() const { return options_; }
+    tcp::endpoint at() const { return server_.at(); }
+    Millis born() const { return born_; }  // Unix milliseconds; 0: long ago
+
+    void crash();
+    void restart();                                   // cold
+    void freeze(bool on);                             // takes and holds, neither works nor answers
+    void fail_share(double share) { fail_ = share; }  // that share gets a quick 500
+
+    std::size_t attempts() const { return attempts_; }
+    std::size_t turned_away() const { return turned_away_; }
+    // The most work received within a window while cold, against what fells the server: over 1 it has fallen.
+    double cold_peak() const { return cold_peak_; }
+    const HttpServer& server() const { return server_; }
+
+private:
+    struct Job {
+        HttpServer::ExchangePtr exchange;
+        Millis work = 0;
+        bool fails = false;
+    };
+    void take(HttpServer::ExchangePtr exchange);
+    void begin();
+    void finish(std::uint64_t number);
+    double share() const;
+    void book_cold(Millis work);
+
+    asio::io_context& io_;
+    const Clock& clock_;
+    Ledger& ledger_;
+    Options options_;
+    kelplb::Random random_;
+    HttpServer server_;
+    std::deque<Job> waiting_;
+    struct Running {
+        Job job;
+        std::unique_ptr<asio::steady_timer> timer;
+        bool over = false;  // while frozen
+    };
+    std::map<std::uint64_t, Running> running_;
+    std::uint64_t next_ = 1;
+    std::deque<std::pair<Millis, Millis>> received_;  // when, work; while cold
+    Millis born_ = 0;
+    double fail_ = 0, cold_peak_ = 0;
+    bool frozen_ = false;
+    std::size_t attempts_ = 0, turned_away_ = 0;
+};
+
+}  // namespace cobaltshift::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,66 @@
+// cobaltshift-lab: measurements and small fleets on loopback addresses. Exit codes: 0 all bounds hold, 1 one
+// falls short, 2 bad usage.
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+
+#include "lab/demo.hpp"
+#include "lab/scenario.hpp"
+
+namespace {
+
+int measured(const cobaltshift::lab::Result& result, const std::string& file) {
+    std::cout << result.text();
+    if (!file.empty() && !(std::ofstream(file) << result.json().dump(2) << '\n')) {
+        std::cerr << "cobaltshift-lab: " << file << " can't be written\n";
+        return 2;
+    }
+    return result.holds() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    using namespace cobaltshift::lab;
+    CLI::App app("Measurements and small fleets on loopback addresses", "cobaltshift-lab");
+    app.require_subcommand(1);
+    Run run;
+    std::string json;
+    std::size_t servers = 12, forwarders = 4;
+    const auto options = [&](CLI::App* command) {
+        command->add_flag("--quick", run.quick, "a short form, within 45 s on two cores");
+        command->add_option("--seed", run.seed, "of all that is drawn");
+        command->add_option("--json", json, "writes the figures to this file");
+    };
+    CLI::App* list = app.add_subcommand("list", "lists the scenarios");
+    CLI::App* show = app.add_subcommand("demo", "ten seconds: twelve servers, a crash and a cold return");
+    options(show);
+    CLI::App* serve = app.add_subcommand("up", "starts a fleet, prints its addresses, serves until SIGTERM");
+    serve->add_option("--servers", servers)->check(CLI::Range(1, 200));
+    serve->add_option("--forwarders", forwarders)->check(CLI::Range(1, 100));
+    serve->add_option("--seed", run.seed);
+    for (const Scenario& scenario : scenarios()) options(app.add_subcommand(scenario.name, scenario.about));
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::Success& help) {
+        return app.exit(help);
+    } catch (const CLI::ParseError& error) {
+        std::cerr << "cobaltshift-lab: " << error.what() << '\n';
+        return 2;
+    }
+    try {
+        if (list->parsed()) {
+            for (const Scenario& scenario : scenarios())
+                std::cout << scenario.name << "  " << scenario.about << '\n';
+            return 0;
+        }
+        if (show->parsed()) return measured(demo(run), json);
+        if (serve->parsed()) return up(servers, forwarders, run.seed);
+        for (const Scenario& scenario : scenarios())
+            if (app.got_subcommand(scenario.name)) return measured(scenario.run(run), json);
+    } catch (const std::exception& error) {
+        std::cerr << "cobaltshift-lab: " << error.what() << '\n';
+        return 1;
+    }
+    return 2;
+}
--- /dev/null
+++ b/src/lab/scenarios.cpp
@@ -0,0 +1,19 @@
+// The table of scenarios. Each is a command of cobaltshift-lab under its name.
+#include "lab/plan_world.hpp"
+#include "lab/planners.hpp"
+#include "lab/scenario.hpp"
+
+namespace cobaltshift::lab {
+
+const std::vector<Scenario>& scenarios() {
+    static const std::vector<Scenario> all = {
+        {"plan-world", "500 (quick) or 20,000 days of faults in virtual time: no rule is broken", plan_world},
+        {"plan-gain", "the same days with planners, without, and with planners that fail", plan_gain},
+        {"planners", "real forwarders and planners, these killed and restarted under load", planners},
+        {"planner-cost", "CPU, memory and bytes of one planner before more and more forwarders",
+         planner_cost},
+    };
+    return all;
+}
+
+}  // namespace cobaltshift::lab
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,40 +1,122 @@
-// cobaltshift: one real sidecar. Exit codes: 0 stopped as asked, 1 failed to start or run, 2 bad
-// configuration.
+// The command line: `cobaltshift [serve]` is one real sidecar, `cobaltshift planner` advises many. Exit
+// codes: 0 stopped as asked, 1 failed to start or run, 2 bad usage, configuration or settings.
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <iostream>
+#include <sstream>
 
 #include "net/log.hpp"
 #include "net/node.hpp"
+#include "plan_io/advised.hpp"
+#include "plan_io/planner_node.hpp"
+#include "settings_file/settings_file.hpp"
 
-int main() {
-    using namespace cobaltshift;
-    std::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may leave; the sidecar serves on
-    try {
-        asio::io_context io(1);
-        // Before all else: a signal without its handler ends the process.
-        asio::signal_set stop(io, SIGTERM, SIGINT), reload(io, SIGHUP);
-        Node node(io, load_config());
-        stop.async_wait([&](error_code ec, int) {
-            if (!ec) node.stop([&] { io.stop(); });
-        });
-        const std::function<void(error_code, int)> on_reload = [&](error_code ec, int) {
-            if (ec) return;
-            reload.async_wait(on_reload);
-            node.reload();
-        };
+namespace {
+
+using namespace cobaltshift;
+
+ProgramSettings settings_of(const std::string& file) {
+    return file.empty() ? ProgramSettings() : load_settings(file);
+}
+
+// What goes wrong in one handler, memory that can't be had above all, must not end all others' requests.
+void run(asio::io_context& io) {
+    while (!io.stopped()) {
+        try {
+            io.run();
+        } catch (const std::exception& error) {
+            log_line(std::string("a handler failed: ") + error.what());
+        }
+    }
+}
+
+void serve(const std::string& settings_file) {
+    asio::io_context io(1);
+    // Before all else: a signal without its handler ends the process.
+    asio::signal_set stop(io, SIGTERM, SIGINT), reload(io, SIGHUP);
+    const ProgramSettings first = settings_of(settings_file);
+    Node node(io, load_config(), first.shares);
+    std::unique_ptr<plan::Advised> advised;
+    const auto advise = [&](const plan::ClientSettings& settings) {
+        // The secret is read before the former one goes: a bad file leaves that in force.
+        if (!settings.planners.empty()) plan::Secret::from_file(settings.secret_file);
+        advised.reset();
+        if (!settings.planners.empty())
+            advised =
+                std::make_unique<plan::Advised>(io, node.clock(), node.sidecar(), node.config(), settings);
+    };
+    advise(first.plan);
+    stop.async_wait([&](error_code ec, int) {
+        if (!ec) node.stop([&] { io.stop(); });
+    });
+    // All is read before anything changes: one bad file leaves the other's old state in force too.
+    const std::function<void(error_code, int)> on_reload = [&](error_code ec, int) {
+        if (ec) return;
         reload.async_wait(on_reload);
-        // What goes wrong in one handler, memory that can't be had above all, must not end all others'
-        // requests.
-        while (!io.stopped()) {
-            try {
-                io.run();
-            } catch (const std::exception& error) {
-                log_line(std::string("a handler failed: ") + error.what());
-            }
+        try {
+            const ProgramSettings settings = settings_of(settings_file);
+            node.reload(settings.shares);
+            advise(settings.plan);
+        } catch (const std::exception& error) {
+            log_line(std::string("the old configuration stays in force: ") + error.what());
         }
+    };
+    reload.async_wait(on_reload);
+    run(io);
+}
+
+int advise_fleet(const std::string& settings_file) {
+    const ProgramSettings settings = settings_of(settings_file);
+    if (!settings.planner) throw SettingsError(settings_file + ": planner is missing");
+    asio::io_context io(1);
+    asio::signal_set stop(io, SIGTERM, SIGINT);
+    plan::PlannerNode node(io, *settings.planner);
+    stop.async_wait([&](error_code ec, int) {
+        if (ec) return;
+        node.stop();
+        io.stop();
+    });
+    std::ostringstream address;
+    address << node.endpoint();
+    log_line("listens on " + address.str());
+    run(io);
+    return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may leave; the sidecar serves on
+    CLI::App app("A sidecar load balancer", "cobaltshift");
+    app.set_version_flag("--version", "cobaltshift " COBALTSHIFT_VERSION);
+    app.require_subcommand(0, 1);
+    std::string settings_file;
+    app.add_option("--settings", settings_file,
+                   "our own settings, TOML; without it all optional parts are off");
+    CLI::App* sidecar = app.add_subcommand("serve", "one sidecar, as NODE_CONFIG says (also without a word)");
+    sidecar->add_option("--settings", settings_file, "as above");
+    CLI::App* planner = app.add_subcommand("planner", "advises the forwarders of a fleet");
+    planner->add_option("--settings", settings_file, "as above; its table [planner] is needed")->required();
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::Success& said) {  // --help, --version
+        return app.exit(said);
+    } catch (const CLI::ParseError& error) {
+        std::cerr << "cobaltshift: " << error.what() << '\n';
+        return 2;
+    }
+    try {
+        if (planner->parsed()) return advise_fleet(settings_file);
+        serve(settings_file);
     } catch (const ConfigError& error) {
         std::cerr << "cobaltshift: " << error.what() << '\n';
         return 2;
+    } catch (const plan::SecretError& error) {
+        std::cerr << "cobaltshift: settings: " << error.what() << '\n';
+        return 2;
+    } catch (const SettingsError& error) {
+        std::cerr << "cobaltshift: settings: " << error.what() << '\n';
+        return 2;
     } catch (const std::exception& error) {
         std::cerr << "cobaltshift: " << error.what() << '\n';
         return 1;
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -26,6 +26,7 @@
 
     void listen(const tcp::endpoint& at);  // throws if it can't
     tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+    void limit(const Limits& limits) { limits_ = limits; }  // what is over closes as it would by itself
     void open_for_use() { ready_ = true; }  // /healthz answers 200 from here on, once a list is held
 
     // From now on each answer closes its connection, and idle ones are closed; new ones are still taken.
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <sstream>
 
 #include "net/log.hpp"
 
@@ -17,13 +18,6 @@
 
 // Descriptors for all but connections: the log, the loop, the listener, discovery, peers, and some to spare.
 constexpr std::size_t kSpare = 32;
-// Of the rest, more for clients than for servers: clients also hold idle ones and ones that say nothing.
-constexpr double kForClients = 0.62;
-// Clients' machines hold a third of the limit at most for their requests, by the platform's word.
-constexpr std::size_t kClientsHold = 3;
-// Of the memory, for the bodies of requests held. Each is there up to three times: read, kept, and on its
-// way.
-constexpr std::size_t kBodyPart = 12;
 // What a server sends behind its answer follows it at once; within this it has been noticed.
 constexpr Millis kSettle = 2;
 
@@ -33,22 +27,29 @@
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0) most = std::min<std::size_t>(most, limit.rlim_cur);
     return std::max(most, kSpare + 16) - kSpare;
 }
-std::size_t from_clients(const Config& config) {
-    return static_cast<std::size_t>(static_cast<double>(connections(config)) * kForClients);
+std::size_t part(std::size_t of, double share) {
+    return static_cast<std::size_t>(static_cast<double>(of) * share);
+}
+std::size_t from_clients(const Config& config, const Shares& shares) {
+    return part(connections(config), shares.client_descriptors);
+}
+std::size_t to_servers(const Config& config, const Shares& shares) {
+    return connections(config) - from_clients(config, shares);
+}
+Listener::Limits limits(const Config& config, const Shares& shares) {
+    return {from_clients(config, shares) - 1,  // it takes one over the limit
+            part(config.sockets, shares.clients_hold),
+            std::max<std::size_t>(kMaxBody, part(config.memory_mb << 20, shares.body_memory))};
 }
 
 }  // namespace
 
-Node::Node(asio::io_context& io, Config config)
+Node::Node(asio::io_context& io, Config config, Shares shares)
     : io_(io),
       config_(std::move(config)),
       sidecar_(io, clock_, config_,
-               {config_.connect_timeout, config_.idle_close, connections(config_) - from_clients(config_),
-                kSettle}),
-      listener_(io, clock_, sidecar_,
-                {from_clients(config_) - 1,  // it takes one over the limit
-                 config_.sockets / kClientsHold,
-                 std::max<std::size_t>(kMaxBody, (config_.memory_mb << 20) / kBodyPart)}),
+               {config_.connect_timeout, config_.idle_close, to_servers(config_, shares), kSettle}),
+      listener_(io, clock_, sidecar_, limits(config_, shares)),
       discovery_(io, config_,
                  {[this](const HostList& list) { sidecar_.told(list); }, [this] { sidecar_.list_failed(); }}),
       timer_(io) {
@@ -62,6 +63,9 @@
     sidecar_.start();
     if (!config_.settings.list_on_request) discovery_.watch(true);
     listener_.open_for_use();
+    std::ostringstream address;
+    address << endpoint();
+    log_line("listens on " + address.str());
 }
 
 void Node::stop(std::function<void()> done) {
@@ -77,12 +81,10 @@
     });
 }
 
-void Node::reload() {
-    try {
-        discovery_.move_to(reload_discovery());
-    } catch (const ConfigError& error) {
-        log_line(std::string("the old configuration stays in force: ") + error.what());
-    }
+void Node::reload(const Shares& shares) {
+    discovery_.move_to(reload_discovery());
+    listener_.limit(limits(config_, shares));
+    sidecar_.limit_connections(to_servers(config_, shares));
 }
 
 void Node::wind_down() {
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -7,21 +7,26 @@
 #include "net/discovery.hpp"
 #include "net/listener.hpp"
 #include "net/peers.hpp"
+#include "net/shares.hpp"
 
 namespace cobaltshift {
 
 class Node {
 public:
-    Node(asio::io_context& io, Config config);  // throws if it can't listen
+    Node(asio::io_context& io, Config config, Shares shares = {});  // throws if it can't listen
     tcp::endpoint endpoint() const { return listener_.endpoint(); }
 
     // A planned stop: serves on while clients are still sent here, then finishes what it holds.
     void stop(std::function<void()> done);
 
-    // The file of the configuration has changed. Only discovery's address is taken from it.
-    void reload();
+    // The file of the configuration or the settings have changed. Of the former only discovery's address is
+    // taken. Throws ConfigError, and then nothing has changed.
+    void reload(const Shares& shares);
 
     Sidecar::Held held() const { return sidecar_.held(); }
+    Sidecar& sidecar() { return sidecar_; }
+    const Clock& clock() const { return clock_; }
+    const Config& config() const { return config_; }
 
 private:
     void wind_down();
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -75,10 +75,12 @@
     const auto name = std::find(names.begin(), names.end(), (*message)["X-Service-Class"]);
     event.class_index = static_cast<std::uint32_t>(name - names.begin());
     Request& request = requests_[id];
+    request.class_index = event.class_index;
     request.message = std::move(message);
     request.client = std::move(client);
     ++unanswered_;
     push(event);
+    if (observer_) observer_->arrived(event.class_index);
     return id;
 }
 
@@ -113,8 +115,17 @@
     for (const auto& [id, s] : servers_)
         if (!s.listed || s.phase != Phase::on) closed.push_back(id);
     for (const ServerId id : closed) upstream_.withdraw_server(id);
+    const std::vector<ServerInfo> listed = observer_ ? event.servers : std::vector<ServerInfo>();
     push(std::move(event));
     for (const ServerId id : closed) drop_server(id);
+    if (observer_) observer_->listed(listed, list.whole);
+}
+
+std::vector<ServerInfo> Sidecar::listed() const {
+    std::vector<ServerInfo> all;
+    for (const auto& [id, s] : servers_)
+        if (s.listed) all.push_back({id, 0, 0, s.phase, s.born, 1});
+    return all;
 }
 
 void Sidecar::list_failed() { push(ServerList{ListKind::failed, {}}); }
@@ -143,6 +154,12 @@
     }
     event.request_ended = request.ended;
     push(event);
+    if (observer_) {
+        const auto& classes = config_.settings.classes;
+        const bool late =
+            request.class_index < classes.size() && event.duration > classes[request.class_index].aim;
+        observer_->ended(server_id, event.outcome, event.duration, late);
+    }
     if (const auto s = servers_.find(server_id); s != servers_.end()) --s->second.out;
     drop_server(server_id);
 }
@@ -225,6 +242,7 @@
     request.sent.emplace_back(clock_.now(), a.server);
     ++request.out;
     if (to != servers_.end()) ++to->second.out;
+    if (observer_) observer_->sent(a.server);
     // Between the decision and now the request may have ended, or its server been told away.
     if (request.ended || to == servers_.end() || !to->second.listed || to->second.phase != Phase::on)
         return attempt_ended(key, Outcome::superseded, nullptr);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -31,6 +31,22 @@
 
 class Sidecar {
 public:
+    // Watches what passes, from within the events; it may guide, and nothing else.
+    class Observer {
+    public:
+        virtual ~Observer() = default;
+        virtual void listed(const std::vector<ServerInfo>& servers, bool whole) = 0;
+        virtual void arrived(std::uint32_t class_index) = 0;
+        virtual void sent(ServerId server) = 0;
+        // `late`: past the aim of the request's class.
+        virtual void ended(ServerId server, Outcome outcome, Millis duration, bool late) = 0;
+    };
+    void observe(Observer* observer) { observer_ = observer; }  // null: none; it must outlive its observing
+    void guide(Guidance guidance) { push(std::move(guidance)); }
+    std::vector<ServerInfo> listed() const;  // id, phase and online_since of each
+    std::vector<ServerId> removed() const { return balancer_.removed(); }
+    void limit_connections(std::size_t most) { upstream_.limit_connections(most); }
+
     Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits);
     ~Sidecar();
     void connect_to(Discovery& discovery, Peers* peers);
@@ -59,6 +75,7 @@
     struct Request {
         RequestPtr message;
         std::weak_ptr<Client> client;
+        std::uint32_t class_index = 0;
         std::uint32_t attempts = 0, out = 0;
         bool ended = false;
         std::vector<std::pair<Millis, ServerId>> sent;  // by attempt
@@ -114,6 +131,7 @@
     Upstream upstream_;
     Discovery* discovery_ = nullptr;
     Peers* peers_ = nullptr;
+    Observer* observer_ = nullptr;
 
     std::deque<Event> events_;
     bool pump_posted_ = false;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -53,6 +53,8 @@
     // As withdrawn, but for what is still connecting.
     void retire(ServerId server);
 
+    void limit_connections(std::size_t most) { limits_.connections = most; }
+
     std::size_t open() const { return open_; }
     std::size_t out() const { return attempts_.size(); }
     std::size_t pools() const { return pools_.size(); }
--- /dev/null
+++ b/src/plan_io/advised.cpp
@@ -0,0 +1,60 @@
+#include "plan_io/advised.hpp"
+
+namespace cobaltshift::plan {
+
+Advised::Advised(asio::io_context& io, const Clock& clock, Sidecar& sidecar, const Config& config,
+                 const ClientSettings& settings)
+    : clock_(clock),
+      sidecar_(sidecar),
+      // The seed is new with each start: so is the incarnation.
+      meter_(config.name, config.seed ^ static_cast<std::uint64_t>(clock.now() * 1000), config.classes.size(),
+             settings.planners.size()),
+      follower_(settings.planners.size()),
+      end_(io),
+      client_(io, clock, config.name, config.seed, settings, Secret::from_file(settings.secret_file),
+              {[this](std::size_t planner) { return report(planner); },
+               [this](std::size_t planner, std::uint64_t sequence, bool full) {
+                   meter_.acknowledged(planner, sequence, full);
+               },
+               [this](std::size_t, Millis asked_at, const Plan& plan) {
+                   const auto taken = follower_.take(clock_.now(), asked_at, plan);
+                   if (taken == Follower::Taken::taken || taken == Follower::Taken::renewed) guide();
+               },
+               [this](std::size_t planner) {
+                   return follower_.holds(planner, clock_.now()) ? follower_.seen()[planner] : PlanId{};
+               }}) {
+    meter_.listed(sidecar_.listed(), true);
+    sidecar_.observe(this);
+}
+
+Advised::~Advised() {
+    sidecar_.observe(nullptr);
+    if (guided_) sidecar_.guide({});
+}
+
+void Advised::listed(const std::vector<kelplb::ServerInfo>& servers, bool whole) {
+    meter_.listed(servers, whole);
+    guide();  // the plan may speak already of what has just been listed
+}
+
+Report Advised::report(std::size_t planner) {
+    for (const auto& info : sidecar_.listed()) meter_.standing(info.id, false);
+    for (const ServerId id : sidecar_.removed()) meter_.standing(id, true);
+    return meter_.report(planner, follower_.seen());
+}
+
+void Advised::guide() {
+    const Millis now = clock_.now();
+    kelplb::Guidance guidance = follower_.guidance(now);
+    if (guidance.servers.empty() && !guided_) return;
+    guided_ = !guidance.servers.empty();
+    sidecar_.guide(std::move(guidance));
+    const auto next = follower_.next_end(now);
+    if (!next) return;
+    end_.expires_at(clock_.point(*next));
+    end_.async_wait([this](error_code ec) {
+        if (!ec) guide();
+    });
+}
+
+}  // namespace cobaltshift::plan
--- /dev/null
+++ b/src/plan_io/planner_node.cpp
@@ -0,0 +1,96 @@
+#include "plan_io/planner_node.hpp"
+
+#include <set>
+
+#include "names.hpp"
+#include "net/log.hpp"
+
+namespace cobaltshift::plan {
+
+namespace {
+
+// The identity on disk may lag: forwarders tell a planner that returns how far it was.
+constexpr Millis kKeepEvery = 5000;
+
+Config for_discovery(const ServerSettings& settings) {
+    Config config;
+    config.discovery = settings.discovery;
+    return config;
+}
+
+}  // namespace
+
+PlannerNode::PlannerNode(asio::io_context& io, ServerSettings settings)
+    : settings_(std::move(settings)),
+      config_(for_discovery(settings_)),
+      planner_(settings_.core, held(), clock_.now()),
+      server_(io, clock_, planner_, settings_, Secret::from_file(settings_.secret_file)),
+      discovery_(io, config_, {[this](const HostList& list) { told(list); }, [] {}}),
+      timer_(io) {
+    keep(true);  // before anything is said under this epoch
+    discovery_.watch(true);
+    tick();
+}
+
+PlanId PlannerNode::held() {
+    if (settings_.state_folder.empty()) return {};
+    std::string why;
+    state_ = load_state(settings_.state_folder, why);
+    if (!why.empty()) log_line("starts without its former state: " + why);
+    return state_ ? state_->id : PlanId{};
+}
+
+void PlannerNode::told(const HostList& list) {
+    std::vector<kelplb::ServerInfo> infos;
+    std::set<ServerId> taken;
+    for (const auto& [name, id] : names_) taken.insert(id);
+    for (const Host& host : list.hosts) {
+        auto at = names_.find(host.name);
+        if (at == names_.end()) {
+            const ServerId id = server_number(host.name, [&](ServerId n) { return taken.count(n) > 0; });
+            taken.insert(id);
+            at = names_.emplace(host.name, id).first;
+        }
+        infos.push_back({at->second, 0, host.cell, host.phase, host.born, host.units});
+    }
+    planner_.listed(clock_.now(), infos, list.whole);
+    // Names of servers gone are let go, or those ever listed would add up.
+    std::set<ServerId> gone;
+    for (const auto& info : infos)
+        if (info.phase == kelplb::Phase::off) gone.insert(info.id);
+    std::set<ServerId> named;
+    for (const auto& info : infos) named.insert(info.id);
+    std::erase_if(names_, [&](const auto& at) {
+        return gone.count(at.second) || (list.whole && !named.count(at.second));
+    });
+    if (state_) planner_.recall(clock_.now(), state_->removed);
+    state_.reset();
+}
+
+void PlannerNode::tick() {
+    if (planner_.tick(clock_.now())) {
+        server_.changed();
+        keep(false);
+    }
+    timer_.expires_after(std::chrono::milliseconds(static_cast<long>(settings_.tick)));
+    timer_.async_wait([this](error_code ec) {
+        if (!ec && !stopped_) tick();
+    });
+}
+
+void PlannerNode::keep(bool always) {
+    const Millis now = clock_.now();
+    if (settings_.state_folder.empty() || (!always && now < kept_at_ + kKeepEvery)) return;
+    kept_at_ = now;
+    std::string why;
+    if (!save_state(settings_.state_folder, {planner_.id(), planner_.removed_lives()}, why)) log_line(why);
+}
+
+void PlannerNode::stop() {
+    stopped_ = true;
+    timer_.cancel();
+    server_.stop();
+    keep(true);
+}
+
+}  // namespace cobaltshift::plan
--- /dev/null
+++ b/src/settings_file/settings_file.hpp
@@ -0,0 +1,28 @@
+// Our own settings, from a TOML file: what the platform's configuration does not say. Typed; every complaint
+// names file, line and key. Without a file all is as the defaults here say, and all optional parts are off.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+
+#include "net/shares.hpp"
+#include "plan_io/settings.hpp"
+
+namespace cobaltshift {
+
+struct SettingsError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct ProgramSettings {
+    Shares shares;
+    plan::ClientSettings plan;
+    std::optional<plan::ServerSettings> planner;  // given: this file can start a planner
+};
+
+// Throws SettingsError: the file can't be read, is no TOML, or has a key unknown, of the wrong type or out of
+// its range. `file` names it in complaints.
+ProgramSettings read_settings(const std::string& text, const std::string& file);
+ProgramSettings load_settings(const std::string& file);
+
+}  // namespace cobaltshift
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 using std::chrono::steady_clock;
-const std::string kNowhere = "127.0.0.1:1";
 
 double seconds_since(steady_clock::time_point start) {
     return std::chrono::duration<double>(steady_clock::now() - start).count();
--- /dev/null
+++ b/tests/plan_test.cpp
@@ -0,0 +1,583 @@
+// The plan's cores: bytes, the forwarder's counts, its plans, and the planner.
+#include <gtest/gtest.h>
+
+#include <limits>
+
+#include "plan/codec.hpp"
+#include "plan/follower.hpp"
+#include "plan/meter.hpp"
+#include "plan/planner.hpp"
+#include "random.hpp"
+
+namespace cobaltshift::plan {
+namespace {
+
+using kelplb::Outcome;
+using kelplb::Phase;
+using kelplb::ServerInfo;
+
+std::vector<ServerInfo> infos(ServerId count, Millis born = 0) {
+    std::vector<ServerInfo> all;
+    for (ServerId i = 1; i <= count; ++i) all.push_back({i, i % 3, 0, Phase::on, born, 1});
+    return all;
+}
+
+// ---- Bytes ----------------------------------------------------------------------------------------------
+
+Report a_report() {
+    Report r{"forwarder-7", 0xfedcba9876543210, 300, true, {}, {5, 0, 1ULL << 40}, {{3, 9}, {0, 0}}};
+    ServerReport s;
+    s.life = {4000000000U, 1700000000123.0};
+    s.attempts = 1000;
+    s.outcomes = {900, 50, 0, 3, 0, 1, 0, 0};
+    s.late = 20;
+    s.outstanding = 46;
+    s.removed = true;
+    s.latency.add(0.1), s.latency.add(33), s.latency.add(1e9);
+    r.servers = {s, s};
+    r.servers[1].life.id = 1;
+    return r;
+}
+Plan a_plan() {
+    Plan p{2, {7, 1ULL << 50}, 5000, false, {}};
+    ServerPlan s;
+    s.life = {17, 0};
+    p.servers.push_back(s);
+    s = {{18, 99.5}, true, 12, false, 0.25F, 3.5F, 12.5F};
+    p.servers.push_back(s);
+    return p;
+}
+
+TEST(PlanBytes, ComeBackAsTheyWent) {
+    std::string why;
+    EXPECT_EQ(decode_report(encode(a_report()), why), a_report()) << why;
+    EXPECT_EQ(decode_plan(encode(a_plan()), why), a_plan()) << why;
+    Plan same{0, {1, 2}, 100, true, {}};
+    EXPECT_EQ(decode_plan(encode(same), why), same) << why;
+}
+
+TEST(PlanBytes, EveryCutAndEveryFlippedBitIsRefusedOrAnotherMessage) {
+    const std::string report = encode(a_report()), plan = encode(a_plan());
+    std::string why;
+    for (std::size_t n = 0; n < report.size(); ++n)
+        EXPECT_FALSE(decode_report(std::string_view(report).substr(0, n), why)) << n;
+    for (std::size_t n = 0; n < plan.size(); ++n)
+        EXPECT_FALSE(decode_plan(std::string_view(plan).substr(0, n), why)) << n;
+    kelplb::Random random(5);
+    for (int i = 0; i < 20000; ++i) {
+        std::string bent = i % 2 ? report : plan;
+        for (std::size_t flips = 1 + random.below(4); flips > 0; --flips)
+            bent[random.below(bent.size())] ^= static_cast<char>(1 << random.below(8));
+        const auto r = decode_report(bent, why);
+        const auto p = decode_plan(bent, why);
+        EXPECT_LE(r ? r->servers.size() : 0, kMaxServers);
+        EXPECT_LE(p ? p->servers.size() : 0, kMaxServers);
+    }
+}
+
+TEST(PlanBytes, HostileInputsAndWhatIsSaidOfEach) {
+    using namespace std::string_literals;
+    const std::string full(10, '\xff');
+    const std::pair<std::string, const char*> table[] = {
+        {"", "kind is cut short"},
+        {"\xc2", "kind is another"},
+        {"\xc1", "forwarder is cut short"},
+        {"\xc1\x00"s, "forwarder is empty"},
+        {"\xc1\x41" + std::string(65, 'x'), "forwarder is over its bound"},
+        {"\xc1\x20xx", "forwarder is more than follows"},
+        {"\xc1\x01x" + full, "incarnation is over 64 bits"},
+        {"\xc1\x01x\x01\x01\x02", "full is over its bound"},
+        {"\xc1\x01x\x01\x01\x01\xff\xff\x03", "servers is over its bound"},
+        {"\xc1\x01x\x01\x01\x01\xff\x1f", "servers is more than follows"},
+        {"\xc1\x01x\x01\x01\x01\x00\x41"s, "demand is over its bound"},
+        {"\xc1\x01x\x01\x01\x01\x00\x00\x10"s, "seen is over its bound"},
+        {"\xc1\x01x\x01\x01\x01\x00\x00\x00!"s, "bytes are left over"},
+        {"\xc1\x01x\x01\x01\x01\x00\x00\x00"s, ""},
+        {std::string(kMaxMessage + 1, '\xc1'), "the message is too long"},
+    };
+    for (const auto& [bytes, said] : table) {
+        std::string why;
+        decode_report(bytes, why);
+        EXPECT_EQ(why, said);
+    }
+}
+
+// ---- The forwarder's counts -----------------------------------------------------------------------------
+
+TEST(PlanMeter, ReportsOnlyWhatChangedSinceTheLastOneAcknowledged) {
+    Meter meter("f", 1, 2, 2);
+    meter.listed(infos(3), true);
+    Report first = meter.report(0, {});
+    EXPECT_TRUE(first.full);
+    EXPECT_EQ(first.servers.size(), 3U);
+    meter.sent(2);
+    // Not acknowledged: everything again. The other planner has its own account.
+    EXPECT_EQ(meter.report(0, {}).servers.size(), 3U);
+    meter.acknowledged(0, 1, false);  // speaks of a report given up
+    EXPECT_TRUE(meter.report(0, {}).full);
+    meter.acknowledged(0, 3, false);
+    EXPECT_EQ(meter.report(0, {}).servers.size(), 0U);
+    meter.ended(2, Outcome::completed, 12, true);
+    const Report delta = meter.report(0, {});
+    ASSERT_EQ(delta.servers.size(), 1U);
+    EXPECT_EQ(delta.servers[0].attempts, 1U);
+    EXPECT_EQ(delta.servers[0].late, 1U);
+    EXPECT_EQ(delta.servers[0].outstanding, 0U);
+    // A report lost: the next holds the same counters still.
+    EXPECT_EQ(meter.report(0, {}).servers.size(), 1U);
+    EXPECT_TRUE(meter.report(1, {}).full);
+    meter.acknowledged(0, 6, true);
+    EXPECT_TRUE(meter.report(0, {}).full);
+}
+
+TEST(PlanMeter, ANewLifeStartsAnewAndGoneServersAreForgotten) {
+    Meter meter("f", 1, 1, 1);
+    meter.listed(infos(2), true);
+    meter.sent(1), meter.sent(2);
+    meter.listed({{1, 0, 0, Phase::on, 77, 1}, {2, 0, 0, Phase::off, 0, 1}}, false);
+    EXPECT_EQ(meter.servers(), 2U);
+    meter.ended(1, Outcome::severed, 5, false);  // of the former life
+    meter.ended(2, Outcome::severed, 5, false);
+    EXPECT_EQ(meter.servers(), 1U);
+    const Report report = meter.report(0, {});
+    ASSERT_EQ(report.servers.size(), 1U);
+    EXPECT_EQ(report.servers[0].life.born, 77);
+    EXPECT_EQ(report.servers[0].attempts, 0U);
+}
+
+// ---- The forwarder's plans ------------------------------------------------------------------------------
+
+Plan plan_of(std::uint32_t planner, PlanId id, std::vector<ServerPlan> servers, Millis life = 5000) {
+    return {planner, id, life, false, std::move(servers)};
+}
+ServerPlan removed_server(ServerId id, std::uint32_t trial = 0) {
+    ServerPlan s;
+    s.life = {id, 0};
+    s.removed = true;
+    s.trial = trial;
+    return s;
+}
+ServerPlan server(ServerId id) {
+    ServerPlan s;
+    s.life = {id, 0};
+    return s;
+}
+using Taken = Follower::Taken;
+
+TEST(PlanFollower, NeverGoesBackAndRenewsOnlyWhatItHolds) {
+    Follower f(1);
+    EXPECT_EQ(f.take(0, 0, {0, {1, 5}, 5000, true, {}}), Taken::unknown);
+    EXPECT_EQ(f.take(0, 0, plan_of(0, {2, 5}, {server(1)})), Taken::taken);
+    EXPECT_EQ(f.take(10, 10, plan_of(0, {2, 4}, {server(1)})), Taken::old);
+    EXPECT_EQ(f.take(10, 10, plan_of(0, {1, 9}, {server(1)})), Taken::old);
+    EXPECT_EQ(f.seen()[0], (PlanId{2, 5}));
+    EXPECT_EQ(f.take(4000, 4000, {0, {2, 5}, 5000, true, {}}), Taken::renewed);
+    EXPECT_TRUE(f.holds(0, 8999));
+    EXPECT_FALSE(f.holds(0, 9000));
+    EXPECT_EQ(f.take(4000, 4000, plan_of(1, {1, 1}, {})), Taken::nonsense);  // no such planner
+    // An identity that ran away shuts the planner out for a while, not for good.
+    EXPECT_EQ(f.take(5000, 5000, plan_of(0, {UINT64_MAX, UINT64_MAX}, {server(1)})), Taken::taken);
+    EXPECT_EQ(f.take(6000, 6000, plan_of(0, {3, 1}, {server(1)})), Taken::old);
+    EXPECT_EQ(f.take(5000 + Follower::kIdentityKept, 5000 + Follower::kIdentityKept,
+                     plan_of(0, {3, 1}, {server(1)})),
+              Taken::taken);
+}
+
+TEST(PlanFollower, APlanLivesFromTheAskingAndEndsToNothing) {
+    Follower f(1);
+    f.take(3000, 0, plan_of(0, {1, 1}, {removed_server(1), server(2)}, 5000));
+    EXPECT_EQ(f.guidance(3000).until, 5000);
+    EXPECT_EQ(f.guidance(4999).servers.size(), 2U);
+    EXPECT_TRUE(f.guidance(5000).servers.empty());
+    EXPECT_EQ(f.next_end(5000), std::nullopt);
+    // Delayed past its life: it changes nothing but the identity, and the one before does not stay either.
+    f.take(6000, 6000, plan_of(0, {1, 2}, {removed_server(1), server(2)}));
+    EXPECT_EQ(f.take(7000, 1000, plan_of(0, {1, 3}, {server(1), server(2)})), Taken::taken);
+    EXPECT_TRUE(f.guidance(7000).servers.empty());
+    EXPECT_EQ(f.take(7000, 7000, plan_of(0, {1, 2}, {server(1)})), Taken::old);
+}
+
+TEST(PlanFollower, ALateDoubleOfTheSamePlanEndsNothing) {
+    Follower f(1);
+    f.take(0, 0, plan_of(0, {1, 1}, {removed_server(1), server(2)}));
+    f.take(4000, 4000, plan_of(0, {1, 1}, {removed_server(1), server(2)}));
+    EXPECT_EQ(f.take(6000, 0, plan_of(0, {1, 1}, {server(1), server(2)})), Taken::renewed);
+    EXPECT_TRUE(f.holds(0, 8999));
+    EXPECT_TRUE(f.guidance(8999).servers.at(0).removed);
+}
+
+TEST(PlanFollower, WellFormedNonsenseIsRefusedWhole) {
+    constexpr float nan = std::numeric_limits<float>::quiet_NaN(),
+                    inf = std::numeric_limits<float>::infinity();
+    const auto with = [](auto change) {
+        Plan plan = plan_of(0, {1, 2}, {server(1), server(2)});
+        change(plan);
+        return plan;
+    };
+    const Plan table[] = {
+        with([](Plan& p) { p.servers[0].share = nan; }),
+        with([](Plan& p) { p.servers[0].share = -0.5F; }),
+        with([](Plan& p) { p.servers[0].share = 1e38F; }),
+        with([](Plan& p) { p.servers[0].elsewhere = nan; }),
+        with([](Plan& p) { p.servers[0].elsewhere = -1; }),
+        with([](Plan& p) { p.servers[1].cold_rate = inf; }),
+        with([](Plan& p) { p.servers[1].cold_rate = -1; }),
+        with([](Plan& p) { p.servers[1].cold_rate = nan; }),
+        with([](Plan& p) { p.servers[1].life.born = std::numeric_limits<double>::quiet_NaN(); }),
+        with([](Plan& p) { p.servers[1].life = p.servers[0].life; }),
+        with([](Plan& p) { p.servers[0].removed = p.servers[1].removed = true; }),
+        with([](Plan& p) { p.life = 0; }),
+        with([](Plan& p) { p.life = std::nan(""); }),
+        with([](Plan& p) { p.life = 1e308; }),
+        with([](Plan& p) { p.planner = 9; }),
+    };
+    Follower f(1);
+    ASSERT_EQ(f.take(0, 0, plan_of(0, {1, 1}, {removed_server(1), server(2)})), Taken::taken);
+    for (const Plan& plan : table) EXPECT_EQ(f.take(0, 0, plan), Taken::nonsense) << &plan - table;
+    EXPECT_EQ(f.seen()[0], (PlanId{1, 1}));
+    EXPECT_EQ(f.guidance(1).servers.size(), 2U);
+}
+
+TEST(PlanFollower, NothingCountsThatAMajorityOfTheConfiguredDoesNotSay) {
+    Follower f(3);
+    ServerPlan liar = removed_server(1, 4);
+    liar.share = 0, liar.elsewhere = 9, liar.cold_rate = 1e5F, liar.preferred = false;
+    f.take(0, 0, plan_of(0, {1, 1}, {liar, server(2)}));
+    EXPECT_TRUE(f.guidance(1).servers.empty()) << "one of three alone";
+    ServerPlan honest = server(1);
+    honest.cold_rate = 3;
+    f.take(0, 0, plan_of(1, {1, 1}, {honest, server(2)}));
+    f.take(0, 0, plan_of(2, {1, 1}, {server(1), server(2)}));
+    const auto g = f.guidance(1);
+    ASSERT_EQ(g.servers.size(), 2U);
+    EXPECT_FALSE(g.servers[0].removed);
+    EXPECT_EQ(g.servers[0].trial, 0U);
+    EXPECT_TRUE(g.servers[0].preferred);
+    EXPECT_EQ(g.servers[0].share, 1);
+    EXPECT_EQ(g.servers[0].elsewhere, 0);
+    EXPECT_EQ(g.servers[0].cold_rate, 3);  // what two of them grant
+    f.take(2, 2, plan_of(2, {1, 2}, {removed_server(1), server(2)}));
+    EXPECT_TRUE(f.guidance(3).servers[0].removed);
+    EXPECT_NE(f.guidance(3).servers[0].trial, 0U);
+    EXPECT_EQ(f.guidance(5000).servers.size(), 0U) << "only one is left alive";
+}
+
+TEST(PlanFollower, TheSumOfGrantsInForceIsBoundedWhateverAMinoritySays) {
+    // Three planners hand out a slice of 1 each over 40 forwarders, unevenly; one of them lies to everyone.
+    kelplb::Random random(11);
+    for (int round = 0; round < 200; ++round) {
+        std::vector<std::vector<double>> honest(3, std::vector<double>(40));
+        for (auto& one : honest) {
+            double sum = 0;
+            for (double& part : one) sum += part = random.unit() * random.unit() * random.unit();
+            for (double& part : one) part /= sum;
+        }
+        double in_force = 0;
+        for (std::size_t i = 0; i < 40; ++i) {
+            Follower f(3);
+            for (std::uint32_t p = 0; p < 3; ++p) {
+                ServerPlan s = server(1);
+                s.cold_rate = p == 0 ? 1000.0F : static_cast<float>(honest[p][i]);
+                f.take(0, 0, plan_of(p, {1, 1}, {s}));
+            }
+            in_force += f.guidance(0).servers.at(0).cold_rate;
+        }
+        EXPECT_LE(in_force, 2.0 + 1e-4);
+    }
+}
+
+// ---- The planner ----------------------------------------------------------------------------------------
+
+// Forwarders with their meters before one planner, in virtual time.
+struct Office {
+    explicit Office(PlannerSettings s = {}, std::size_t count = 10, ServerId servers = 10)
+        : settings(s), planner(s, {}, 0) {
+        planner.listed(0, infos(servers), true);
+        for (std::size_t i = 0; i < count; ++i) {
+            meters.emplace_back("f" + std::to_string(i), 1, 1, 1);
+            meters.back().listed(infos(servers), true);
+        }
+        round();
+    }
+    void round(Millis passed = 1000) {
+        now += passed;
+        for (Meter& m : meters) {
+            const Report r = m.report(0, {});
+            const auto taken = planner.report(now, r);
+            m.acknowledged(0, r.sequence, taken == Planner::Taken::want_full);
+        }
+        planner.tick(now);
+    }
+    void serve(Meter& m, ServerId s, Outcome outcome, Millis time = 20, bool late = false) {
+        m.arrived(0), m.sent(s), m.ended(s, outcome, time, late);
+    }
+    void serve_all(ServerId servers, ServerId bad = 0) {
+        for (Meter& m : meters)
+            for (ServerId s = 1; s <= servers; ++s)
+                serve(m, s, s == bad ? Outcome::errored : Outcome::completed);
+    }
+    const ServerPlan& of(const Plan& plan, ServerId id) {
+        return *std::find_if(plan.servers.begin(), plan.servers.end(),
+                             [&](const auto& s) { return s.life.id == id; });
+    }
+    PlannerSettings settings;
+    Planner planner;
+    std::vector<Meter> meters;
+    Millis now = 0;
+};
+
+TEST(Planner, PoolsWindowsThatAreShortInEveryForwarder) {
+    Office office;
+    office.serve_all(10, 4);
+    office.round();
+    EXPECT_FALSE(office.planner.removed(4)) << "ten outcomes are under the twenty needed";
+    office.serve_all(10, 4);
+    office.round();
+    EXPECT_TRUE(office.planner.removed(4));
+    EXPECT_EQ(office.planner.removed(), 1U);
+}
+
+TEST(Planner, LostDoubledAndOvertakenReportsCountOnce) {
+    Office office;
+    std::vector<Report> sent;
+    for (int i = 0; i < 3; ++i) {
+        office.serve(office.meters[0], 1, Outcome::errored);
+        sent.push_back(office.meters[0].report(0, {}));
+    }
+    EXPECT_EQ(office.planner.report(1, sent[2]), Planner::Taken::taken);  // the first two are late or lost
+    for (const Report& r : sent) EXPECT_EQ(office.planner.report(1, r), Planner::Taken::repeated);
+    for (int i = 0; i < 16; ++i) office.serve(office.meters[0], 1, Outcome::errored);
+    office.round();
+    EXPECT_FALSE(office.planner.removed(1)) << "nineteen";
+    office.serve(office.meters[0], 1, Outcome::errored);
+    office.round();
+    EXPECT_TRUE(office.planner.removed(1));
+}
+
+TEST(Planner, ASlowdownOfAllRemovesNeverMoreThanItsPart) {
+    Office office;
+    for (int i = 0; i < 5; ++i) {
+        for (Meter& m : office.meters)
+            for (ServerId s = 1; s <= 10; ++s) office.serve(m, s, Outcome::completed, 900, true);
+        office.round();
+    }
+    EXPECT_EQ(office.planner.removed(), 0U) << "all alike: no server's fault";
+    for (int i = 0; i < 5; ++i) {
+        for (Meter& m : office.meters)
+            for (ServerId s = 1; s <= 10; ++s)
+                office.serve(m, s, s <= 6 ? Outcome::errored : Outcome::completed);
+        office.round();
+    }
+    EXPECT_LE(office.planner.removed(), 3U);
+}
+
+TEST(Planner, HandsEachTrialToOneAndToTheNextWhenNothingComesOfIt) {
+    Office office;
+    for (int i = 0; i < 3; ++i) office.serve_all(10, 4), office.round();
+    ASSERT_TRUE(office.planner.removed(4));
+    const auto holders = [&] {
+        std::vector<std::string> names;
+        for (std::size_t f = 0; f < office.meters.size(); ++f) {
+            const std::string name = "f" + std::to_string(f);
+            const Plan plan = office.planner.plan(office.now, name, {});
+            if (office.of(plan, 4).trial != 0) names.push_back(name);
+        }
+        return names;
+    };
+    const auto serve_others = [&] {
+        for (Meter& m : office.meters)
+            for (ServerId s = 1; s <= 10; ++s)
+                if (s != 4) office.serve(m, s, Outcome::completed);
+    };
+    EXPECT_TRUE(holders().empty());
+    for (int i = 0; i < 10; ++i) serve_others(), office.round();
+    const auto first = holders();
+    ASSERT_EQ(first.size(), 1U);
+    const auto trial = [&] {
+        return office.of(office.planner.plan(office.now, holders().at(0), {}), 4).trial;
+    };
+    const std::uint32_t number = trial();
+    for (int i = 0; i < 4; ++i) serve_others(), office.round();  // the holder never sends it
+    ASSERT_EQ(holders().size(), 1U);
+    EXPECT_NE(trial(), number);
+    // Somebody else's success on it is no trial's; the holder's is.
+    const std::size_t holder = std::stoul(holders().at(0).substr(1));
+    office.serve(office.meters[(holder + 1) % 10], 4, Outcome::completed);
+    office.round(100);
+    EXPECT_TRUE(office.planner.removed(4));
+    office.serve(office.meters[holder], 4, Outcome::completed);
+    office.round(100);
+    EXPECT_FALSE(office.planner.removed(4));
+}
+
+TEST(Planner, AFailedTrialStartsAnotherBackoff) {
+    Office office;
+    for (int i = 0; i < 3; ++i) office.serve_all(10, 4), office.round();
+    for (int i = 0; i < 11; ++i) office.serve_all(10, 4), office.round();
+    // Everyone fails on it all the time, the holder too.
+    ASSERT_TRUE(office.planner.removed(4));
+    office.serve_all(10, 4), office.round();
+    for (std::size_t f = 0; f < office.meters.size(); ++f)
+        EXPECT_EQ(office.of(office.planner.plan(office.now, "f" + std::to_string(f), {}), 4).trial, 0U);
+}
+
+TEST(Planner, AServersNewLifeHasNoRecord) {
+    Office office;
+    for (int i = 0; i < 3; ++i) office.serve_all(10, 4), office.round();
+    ASSERT_TRUE(office.planner.removed(4));
+    office.planner.listed(office.now, {{4, 0, 0, Phase::on, 5555, 1}}, false);
+    EXPECT_FALSE(office.planner.removed(4));
+    for (int i = 0; i < 3; ++i)
+        office.serve_all(10, 4), office.round();  // still of the former life, as forwarders know it
+    EXPECT_FALSE(office.planner.removed(4));
+}
+
+TEST(Planner, GrantsFollowDemandAndNeverExceedTheSliceWhateverIsAlive) {
+    PlannerSettings s;
+    s.cold_from = 0.2, s.warm_within = 60000, s.fall_multiple = 2.5;
+    Office office(s);
+    for (int i = 0; i < 8; ++i) {
+        for (int n = 0; n < 9; ++n)
+            for (ServerId id = 1; id <= 10; ++id) office.serve(office.meters[0], id, Outcome::completed);
+        office.serve_all(10);
+        office.round();
+    }
+    office.planner.listed(office.now, {{3, 0, 0, Phase::on, 777, 1}}, false);
+    office.round();
+    const auto rate = [&](std::size_t f) {
+        return office.of(office.planner.plan(office.now, "f" + std::to_string(f), {}), 3).cold_rate;
+    };
+    double sum = 0, slice = office.planner.granted(office.now, 3).slice;
+    ASSERT_GT(slice, 0);
+    std::vector<double> rates;
+    for (std::size_t f = 0; f < 10; ++f) rates.push_back(rate(f)), sum += rates.back();
+    EXPECT_GT(rates[0], 4 * rates[1]);
+    EXPECT_LE(sum, slice);
+    // The demand moves: what is still alive at the first is not handed out again before it ends.
+    kelplb::Random random(3);
+    for (int i = 0; i < 40; ++i) {
+        const std::size_t busy = random.below(10);
+        for (int n = 0; n < 30; ++n) office.serve(office.meters[busy], 1, Outcome::completed);
+        office.round(500);
+        for (std::size_t f = 0; f < 10; ++f)
+            if (random.unit() < 0.6) rate(f);
+        const auto granted = office.planner.granted(office.now, 3);
+        EXPECT_LE(granted.rate, granted.slice * (1 + 1e-9)) << i;
+    }
+}
+
+TEST(Planner, GrantsNothingUntilWhatItsFormerSelfGrantedIsOver) {
+    PlannerSettings s;
+    s.cold_from = 0.2, s.warm_within = 60000, s.fall_multiple = 2.5;
+    Planner planner(s, {4, 9}, 1000);
+    EXPECT_GT(planner.id(), (PlanId{4, 9}));
+    auto list = infos(10);
+    list[2].online_since = 777;
+    planner.listed(1000, list, true);
+    Meter meter("f", 1, 1, 1);
+    meter.listed(list, true);
+    for (Millis now = 1000; now < 9000; now += 500) {
+        for (ServerId id = 1; id <= 10; ++id)
+            meter.arrived(0), meter.sent(id), meter.ended(id, Outcome::completed, 10, false);
+        const Report r = meter.report(0, {});
+        planner.report(now, r);
+        meter.acknowledged(0, r.sequence, false);
+        planner.tick(now);
+        const Plan plan = planner.plan(now, "f", {});
+        EXPECT_EQ(plan.servers[2].cold_rate > 0, now >= 1000 + s.life) << now;
+    }
+}
+
+TEST(Planner, LearnsFromForwardersThatItWasFurtherThanItsDiskTells) {
+    Planner planner({}, {2, 1}, 0);
+    planner.tick(0);
+    Report r{"f", 1, 1, true, {}, {}, {{9, 55}}};
+    planner.report(10, r);
+    EXPECT_GT(planner.id(), (PlanId{9, 55}));
+}
+
+TEST(Planner, AForwarderRestartedUnderItsOldNameBeginsAnewAndIsAskedForAll) {
+    Office office;
+    office.serve_all(10);
+    office.round();
+    Report delta{"f0", 99, 7, false, {}, {3}, {}};
+    EXPECT_EQ(office.planner.report(office.now, delta), Planner::Taken::want_full);
+    EXPECT_EQ(office.planner.report(office.now, delta), Planner::Taken::repeated);
+    EXPECT_EQ(office.planner.forwarders(), 10U);
+}
+
+TEST(Planner, RefusesNonsenseAndForwardersBeyondItsBoundAndForgetsSilentOnes) {
+    PlannerSettings s;
+    s.forwarders = 2;
+    Planner planner(s, {}, 0);
+    planner.listed(0, infos(2), true);
+    const auto said = [](const char* name) { return Report{name, 1, 1, true, {}, {}, {}}; };
+    EXPECT_EQ(planner.report(0, said("")), Planner::Taken::refused);
+    EXPECT_EQ(planner.report(0, said(std::string(65, 'x').c_str())), Planner::Taken::refused);
+    EXPECT_EQ(planner.report(0, said("a")), Planner::Taken::taken);
+    EXPECT_EQ(planner.report(0, said("b")), Planner::Taken::taken);
+    EXPECT_EQ(planner.report(0, said("c")), Planner::Taken::refused);
+    Report odd = said("a");
+    odd.sequence = 2;
+    odd.servers.resize(1);
+    odd.servers[0].life.id = 1;
+    odd.servers[0].attempts = 5, odd.servers[0].outcomes[0] = 6;  // more ended than were sent
+    EXPECT_EQ(planner.report(0, odd), Planner::Taken::refused);
+    odd.servers[0].outcomes[0] = 4, odd.servers[0].late = 5;
+    EXPECT_EQ(planner.report(0, odd), Planner::Taken::refused);
+    odd.servers[0].late = 0, odd.servers[0].life.born = std::nan("");
+    EXPECT_EQ(planner.report(0, odd), Planner::Taken::refused);
+    planner.tick(20000);
+    EXPECT_EQ(planner.forwarders(), 0U);
+    EXPECT_EQ(planner.report(20000, said("c")), Planner::Taken::taken);
+}
+
+TEST(Planner, SubsetsAreEvenAndMoveLittleWhenOneForwarderGoes) {
+    PlannerSettings s;
+    s.subset = 8;
+    const auto preferred = [&](Planner& planner, std::size_t forwarders) {
+        std::vector<std::set<ServerId>> all;
+        for (std::size_t f = 0; f < forwarders; ++f) {
+            all.emplace_back();
+            for (const auto& one : planner.plan(1, "f" + std::to_string(f), {}).servers)
+                if (one.preferred) all.back().insert(one.life.id);
+        }
+        return all;
+    };
+    Planner planner(s, {}, 0);
+    planner.listed(0, infos(64), true);
+    for (int f = 0; f < 101; ++f) planner.report(0, {"f" + std::to_string(f), 1, 1, true, {}, {}, {}});
+    const auto with = preferred(planner, 101);
+    std::map<ServerId, int> by_server;
+    std::size_t least = 64, most = 0;
+    for (const auto& one : with) {
+        least = std::min(least, one.size()), most = std::max(most, one.size());
+        for (const ServerId id : one) ++by_server[id];
+    }
+    EXPECT_GE(least, 1U);
+    EXPECT_LE(most, 24U);
+    for (const auto& [id, n] : by_server) EXPECT_EQ(n, 13) << id;  // 8 * 101 / 64, rounded up
+    Planner without(s, {}, 0);
+    without.listed(0, infos(64), true);
+    for (int f = 0; f < 100; ++f) without.report(0, {"f" + std::to_string(f), 1, 1, true, {}, {}, {}});
+    const auto after = preferred(without, 100);
+    std::size_t moved = 0;
+    for (std::size_t f = 0; f < 100; ++f)
+        for (const ServerId id : after[f]) moved += !with[f].count(id);
+    EXPECT_LE(moved, 2 * with[100].size() + 4);
+}
+
+TEST(Planner, SlowServersGetASmallerShare) {
+    Office office;
+    for (int i = 0; i < 6; ++i) {
+        for (Meter& m : office.meters)
+            for (ServerId s = 1; s <= 10; ++s) office.serve(m, s, Outcome::completed, s == 7 ? 300 : 30);
+        office.round();
+    }
+    const Plan plan = office.planner.plan(office.now, "f0", {});
+    EXPECT_EQ(office.of(plan, 7).share, 0.25F);
+    EXPECT_EQ(office.of(plan, 6).share, 1.0F);
+}
+
+}  // namespace
+}  // namespace cobaltshift::plan
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# The one test command: configures and builds into a folder, then runs every test.
+# The one test command: installs what the tests need, configures and builds into a folder, then runs every test.
 #   tests/run.sh [FOLDER [CMAKE OPTIONS...]]
 set -euo pipefail
 cd "$(dirname "$0")/.."
+tests/packages.sh test
 folder=${1:-build-tests}
 shift || true
 cmake -S . -B "$folder" -DKELPLB_TESTS=ON "$@"
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,61 @@
+// Our own settings: hostile and careless files, each with its complaint, and the example against the
+// defaults.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <iterator>
+
+#include "settings_file/settings_file.hpp"
+
+namespace cobaltshift {
+namespace {
+
+std::string complaint(const std::string& text) {
+    try {
+        read_settings(text, "x.toml");
+    } catch (const SettingsError& error) {
+        return error.what();
+    }
+    return "none";
+}
+
+TEST(SettingsFile, ComplaintsNameFileLineAndKey) {
+    const std::pair<const char*, const char*> table[] = {
+        {"[shares]\nclients_hold = 0.5\n", "none"},
+        {"", "none"},
+        {"[shares]\n\nclients_hold = \"half\"", "x.toml:3: shares.clients_hold is not a number"},
+        {"[shares]\nclients_hold = true", "x.toml:2: shares.clients_hold is not a number"},
+        {"[shares]\nclients_hold = 7", "x.toml:2: shares.clients_hold is not between 0.05 and 1"},
+        {"[shares]\nclients_hold = -0.1", "is not between"},
+        {"[shares]\nclients_hold = nan", "is not between"},
+        {"[shares]\nclients_hold = inf", "is not between"},
+        {"[shares]\nclient_hold = 0.5", "x.toml:2: shares.client_hold is not known"},
+        {"# a\n[sharing]\n", "x.toml:2: sharing is not known"},
+        {"shares = 3", "x.toml:1: shares is not a table"},
+        {"[shares]\nclients_hold = 0.5\nclients_hold = 0.5", "x.toml:3: "},
+        {"[shares\n", "x.toml:1: "},
+        {"\x01\xff", "x.toml:1: "},
+    };
+    for (const auto& [text, said] : table)
+        EXPECT_NE(complaint(text).find(said), std::string::npos) << text << " -> " << complaint(text);
+}
+
+TEST(SettingsFile, AFileThatIsNotThereIsNamed) {
+    try {
+        load_settings("/nowhere/x.toml");
+        FAIL();
+    } catch (const SettingsError& error) {
+        EXPECT_STREQ(error.what(), "/nowhere/x.toml: can't be read");
+    }
+}
+
+TEST(SettingsFile, TheExampleHoldsTheDefaultsAndThePlatformsFileIsGood) {
+    const ProgramSettings example = load_settings(COBALTSHIFT_DEPLOY "/example.toml"), standard;
+    EXPECT_NEAR(example.shares.client_descriptors, standard.shares.client_descriptors, 1e-9);
+    EXPECT_NEAR(example.shares.clients_hold, standard.shares.clients_hold, 1e-9);
+    EXPECT_NEAR(example.shares.body_memory, standard.shares.body_memory, 1e-9);
+    load_settings(COBALTSHIFT_DEPLOY "/platform.toml");
+}
+
+}  // namespace
+}  // namespace cobaltshift
