--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -36,6 +36,9 @@
 constexpr double kColdFrom = 0.3, kFallMultiple = 2.5;
 constexpr Millis kWarmWithin = 8000, kFallWindow = 1000, kNotice = 1500;
 constexpr double kChance = 1.25;  // room over the mean that a budget leaves to a lot
+// Of a cold budget, for grants: what forwarders' own rule, half of it, and chance leave. Stated here again,
+// so that the planners' own figure is held against something.
+constexpr double kPlannersPart = 0.375;
 constexpr std::size_t kBrokenKept = 10;
 
 struct World {
@@ -632,7 +635,7 @@
             const double sum = granted[s.id - 1];
             // Attempts a second that its cold part can do; the forwarders' own rule has the other part.
             const double can = kFallMultiple * kColdFrom * kSlots / kWork * 1000;
-            const double part = 3 * plan::kPlannersSlice * can;
+            const double part = kPlannersPart * can;
             report.grant_peak = std::max(report.grant_peak, sum / part);
             // With a majority of liars the module's own bound is all that is left, and the budget shows it.
             if (options.liars < options.planners / 2 + 1 && sum > part)
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -38,8 +38,6 @@
     Node node(io, load_config(), first.shares);
     std::unique_ptr<plan::Advised> advised;
     const auto advise = [&](const plan::ClientSettings& settings) {
-        // The secret is read before the former one goes: a bad file leaves that in force.
-        if (!settings.planners.empty()) plan::Secret::from_file(settings.secret_file);
         advised.reset();
         if (!settings.planners.empty())
             advised =
@@ -55,6 +53,7 @@
         reload.async_wait(on_reload);
         try {
             const ProgramSettings settings = settings_of(settings_file);
+            plan::Secret::from_file(settings.plan.secret_file);
             node.reload(settings.shares);
             advise(settings.plan);
         } catch (const std::exception& error) {
