--- a/src/lab/planners.cpp
+++ b/src/lab/planners.cpp
@@ -218,6 +218,7 @@
             folder.write("planner.toml", "[planner]\nlisten = \"" + text_of(at) + "\"\ndiscovery = \"" +
                                              discovery.at() + "\"\nsecret_file = \"" + secret + "\"\n");
         std::size_t up = 0, down = 0;
+        std::vector<plan::PlanId> held(size);
         std::vector<std::unique_ptr<plan::Meter>> meters;
         std::vector<std::unique_ptr<plan::Client>> clients;
         kelplb::Random random(run.seed);
@@ -231,23 +232,25 @@
                 clients.push_back(std::make_unique<plan::Client>(
                     io, clock, "f" + std::to_string(i), run.seed * 10000 + i, settings,
                     plan::Secret::from_file(secret),
-                    plan::Client::Handlers{
-                        [&, i](std::size_t) {
-                            for (int n = 0; n < 10; ++n) {  // ten requests a second each
-                                const ServerId s = servers[random.below(32)].id;
-                                meters[i]->arrived(0), meters[i]->sent(s);
-                                meters[i]->ended(s, kelplb::Outcome::completed, 5 + 40 * random.unit(),
-                                                 false);
-                            }
-                            plan::Report report = meters[i]->report(0, {});
-                            up += encode(report).size();
-                            return report;
-                        },
-                        [&, i](std::size_t, std::uint64_t n, bool full) {
-                            meters[i]->acknowledged(0, n, full);
-                        },
-                        [&](std::size_t, Millis, const plan::Plan& plan) { down += encode(plan).size(); },
-                        [&](std::size_t) { return plan::PlanId{}; }}));
+                    plan::Client::Handlers{[&, i](std::size_t) {
+                                               for (int n = 0; n < 10; ++n) {  // ten requests a second each
+                                                   const ServerId s = servers[random.below(32)].id;
+                                                   meters[i]->arrived(0), meters[i]->sent(s);
+                                                   meters[i]->ended(s, kelplb::Outcome::completed,
+                                                                    5 + 40 * random.unit(), false);
+                                               }
+                                               plan::Report report = meters[i]->report(0, {});
+                                               up += encode(report).size();
+                                               return report;
+                                           },
+                                           [&, i](std::size_t, std::uint64_t n, bool full) {
+                                               meters[i]->acknowledged(0, n, full);
+                                           },
+                                           [&, i](std::size_t, Millis, const plan::Plan& plan) {
+                                               held[i] = plan.id;
+                                               down += encode(plan).size();
+                                           },
+                                           [&, i](std::size_t) { return held[i]; }}));
             }
         });
         const double seconds = run.quick ? 4 : 15;
