Measure what planners are worth on sockets, pair by pair, and how long advice takes

Change: planners-gain runs two fleets side by side in the same seconds on the same arrivals, work and troubles (drawn as the fault world draws them), and puts each lost request down to what it met and how long that had lasted. plan-path measures from a server's first failure to the first request spared, part by part. The load tool counts from the intended start. The slow reader's bound at the planner's front is a setting of its own and has its test; a test with periods of a minute shows that failures and removals are told ahead of them. A plan is first asked for within half a second, however seldom reports are.

--- a/src/lab/archive.cpp
+++ b/src/lab/archive.cpp
@@ -13,6 +13,27 @@
     return true;
 }
 
+const char* name_of(Trouble trouble) {
+    static const char* const names[] = {"none seen", "queue", "cold", "full", "pause", "crash", "error"};
+    return names[static_cast<std::size_t>(trouble)];
+}
+
+namespace {
+
+constexpr Millis kLongWait = 60;  // in a queue, with a work of some 20 ms
+
+// From 0 to 1, the same for a request wherever and whenever it runs: two fleets side by side then do the same
+// work for it.
+double lot_of(const std::string& target) {
+    std::uint64_t h = 14695981039346656037ULL;  // FNV-1a, and SplitMix64's finisher
+    for (const char c : target) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    h = (h ^ (h >> 27)) * 0x94d049bb133111ebULL;
+    return static_cast<double>((h ^ (h >> 31)) >> 11) * 0x1p-53;
+}
+
+}  // namespace
+
 Archive::Archive(asio::io_context& io, const Clock& clock, Ledger& ledger, Options options)
     : io_(io),
       clock_(clock),
@@ -21,7 +42,13 @@
       random_(options_.seed),
       server_(io, [this](HttpServer::ExchangePtr exchange) { take(std::move(exchange)); }) {}
 
+void Archive::note(const Job& job, Trouble trouble) {
+    ledger_.met(std::string(job.exchange->request().target()), trouble, clock_.now(), options_.number);
+}
+
 void Archive::crash() {
+    for (const Job& job : waiting_) note(job, Trouble::crash);
+    for (const auto& [number, run] : running_) note(run.job, Trouble::crash);
     server_.close();
     waiting_.clear();
     running_.clear();
@@ -36,7 +63,11 @@
 
 void Archive::freeze(bool on) {
     frozen_ = on;
-    if (on) return;
+    if (on) {
+        for (const Job& job : waiting_) note(job, Trouble::pause);
+        for (const auto& [number, run] : running_) note(run.job, Trouble::pause);
+        return;
+    }
     std::vector<std::uint64_t> over;
     for (const auto& [number, run] : running_)
         if (run.over) over.push_back(number);
@@ -68,12 +99,16 @@
     ++attempts_;
     if (running_.size() + waiting_.size() >= options_.slots + options_.queue) {
         ++turned_away_;
+        ledger_.met(std::string(request.target()), Trouble::full, clock_.now(), options_.number);
         HttpResponse full = plain(503);
         full.set("X-Unprocessed", "1");
         return exchange->respond(std::move(full));
     }
-    Job job{std::move(exchange), -options_.work * std::log(1 - random_.unit()), random_.unit() < fail_};
-    if (job.fails) job.work = 1;
+    const Millis work = -options_.work * std::log(1 - lot_of(std::string(request.target())));
+    Job job{std::move(exchange), work, random_.unit() < fail_, clock_.now()};
+    if (job.fails) job.work = 1, note(job, Trouble::error);
+    if (frozen_) note(job, Trouble::pause);
+    if (share() < 1) note(job, Trouble::cold);
     book_cold(job.work);
     waiting_.push_back(std::move(job));
     begin();
@@ -85,6 +120,7 @@
         Running& run = running_[number];
         run.job = std::move(waiting_.front());
         waiting_.pop_front();
+        if (clock_.now() - run.job.came > kLongWait) note(run.job, Trouble::queue);
         const HttpRequest& request = run.job.exchange->request();
         const std::string target(request.target());
         if (const auto key = request["Idempotency-Key"]; !key.empty()) {
--- a/src/lab/archive.hpp
+++ b/src/lab/archive.hpp
@@ -14,9 +14,27 @@
 
 namespace cobaltshift::lab {
 
+// What a request met at a server that can have made it late or lost.
+enum class Trouble : std::uint8_t { none, queue, cold, full, pause, crash, error };
+const char* name_of(Trouble trouble);
+
 // What the fleet has run, by what it was about.
 class Ledger {
 public:
+    // The worst that a request has met, and when and where, by its target.
+    struct Met {
+        Trouble trouble = Trouble::none;
+        Millis at = 0;
+        std::size_t server = 0;
+    };
+    void met(const std::string& target, Trouble trouble, Millis at, std::size_t server) {
+        Met& worst = met_[target];
+        if (trouble > worst.trouble) worst = {trouble, at, server};
+    }
+    Met met(const std::string& target) const {
+        const auto at = met_.find(target);
+        return at == met_.end() ? Met{} : at->second;
+    }
     // An unsafe request that began to run. `about`: what the client wanted done, the same for its retries.
     void ran_once(const std::string& about) {
         if (++once_[about] > 1) ++doubled_;
@@ -31,6 +49,7 @@
     std::unordered_map<std::string, unsigned> once_;
     std::unordered_map<std::string, Millis> keyed_;
     std::size_t safe_ = 0, doubled_ = 0;
+    std::unordered_map<std::string, Met> met_;  // only of those that met something
 };
 
 class Archive {
@@ -38,7 +57,8 @@
     struct Options {
         std::string name;
         std::string hall;
-        std::size_t slots = 4;  // requests in work at a time
+        std::size_t number = 0;  // in its fleet
+        std::size_t slots = 4;   // requests in work at a time
         std::size_t queue = 32;
         Millis work = 20;        // mean of a request's, exponential
         double cold_from = 0.3;  // of its capacity just after a start, rising evenly
@@ -70,7 +90,9 @@
         HttpServer::ExchangePtr exchange;
         Millis work = 0;
         bool fails = false;
+        Millis came = 0;
     };
+    void note(const Job& job, Trouble trouble);
     void take(HttpServer::ExchangePtr exchange);
     void begin();
     void finish(std::uint64_t number);
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -2,27 +2,16 @@
 
 #include <signal.h>
 
-#include <sstream>
-
 namespace cobaltshift::lab {
 
 using nlohmann::json;
 
-namespace {
-
-std::string text_of(const tcp::endpoint& endpoint) {
-    std::ostringstream text;
-    text << endpoint;
-    return text.str();
-}
-
-}  // namespace
-
 Fleet::Fleet(asio::io_context& io, const Clock& clock, Options options)
     : io_(io), clock_(clock), options_(std::move(options)), discovery_(io) {
     for (std::size_t i = 0; i < options_.servers; ++i) {
         Archive::Options one = options_.server;
         one.name = "archive-" + std::to_string(i);
+        one.number = i;
         one.hall = std::string("hall-") + static_cast<char>('a' + i % options_.halls);
         one.seed = options_.seed * 1000 + i;
         servers_.push_back(std::make_unique<Archive>(io, clock, ledger_, one));
--- a/src/lab/http_server.cpp
+++ b/src/lab/http_server.cpp
@@ -1,5 +1,7 @@
 #include "lab/http_server.hpp"
 
+#include <sstream>
+
 namespace cobaltshift::lab {
 
 class HttpServer::Connection : public Exchange, public std::enable_shared_from_this<Connection> {
@@ -109,6 +111,12 @@
     });
 }
 
+std::string text_of(const tcp::endpoint& endpoint) {
+    std::ostringstream text;
+    text << endpoint;
+    return text.str();
+}
+
 HttpResponse plain(unsigned status, std::string body) {
     HttpResponse response(static_cast<http::status>(status), 11);
     response.body() = std::move(body);
--- a/src/lab/http_server.hpp
+++ b/src/lab/http_server.hpp
@@ -50,6 +50,7 @@
     std::size_t opened_ = 0;
 };
 
+std::string text_of(const tcp::endpoint& endpoint);  // ADDRESS:PORT
 HttpResponse plain(unsigned status, std::string body = "");
 
 }  // namespace cobaltshift::lab
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -36,6 +36,7 @@
     std::size_t front = 0;
     std::string about;
     Millis began = 0, until = 0;
+    Millis lag = 0;
     unsigned tries = 0;
     bool used_link = false;  // on a connection that may have been closed meanwhile
     bool over = false;
@@ -91,7 +92,7 @@
         auto ask = std::make_shared<Ask>(io_);
         ask->kind = &options_.classes[kind];
         ask->front = front;
-        ask->began = clock_.now();
+        ask->began = next_at_;  // as intended: what the tool itself is late by counts
         ask->until = ask->began + ask->kind->deadline;
         ask->about = std::to_string(options_.seed) + "-" + std::to_string(++ids_);
         ++tallies_[ask->kind->name].asked;
@@ -114,6 +115,7 @@
     const ClassLoad& kind = *ask->kind;
     if (!ask->used_link) ++ask->tries, ++tallies_[kind.name].tries;
     const Millis now = clock_.now();
+    if (ask->tries == 1) ask->lag = std::max(ask->lag, now - ask->began);
     HttpRequest& request = ask->request;
     const bool safe = kind.effect == ClassLoad::Effect::safe;
     request =
@@ -121,7 +123,7 @@
     request.set("Host", "lab");
     request.set("X-Correlation-Id", ask->about + "-" + std::to_string(++ids_));
     request.set("X-Service-Class", kind.name);
-    request.set("X-Time-Left", std::to_string(static_cast<long>(ask->until - now)) + "m");
+    request.set("X-Time-Left", std::to_string(static_cast<long>(std::max(0.0, ask->until - now))) + "m");
     if (ask->tries > 1) request.set("X-Repeat", "1");
     if (kind.effect == ClassLoad::Effect::keyed) request.set("Idempotency-Key", ask->about);
     if (!safe) request.body() = "said";
@@ -185,8 +187,9 @@
     if (now > ask->until) ++tally.overdue;
     if (status == 200) {
         tally.times.push_back(now - ask->began);
-        ++(now - ask->began <= ask->kind->aim ? tally.in_time : tally.late);
-        return close(ask);
+        const bool good = now - ask->began <= ask->kind->aim;
+        ++(good ? tally.in_time : tally.late);
+        return close(ask, !good, status);
     }
     // A refusal says that trying again is harmless; after a failure only what may be repeated is.
     const bool refused = status == 429 || status == 503;
@@ -200,10 +203,13 @@
         return;
     }
     ++(refused ? tally.refused : status == 0 ? tally.unanswered : tally.failed);
-    close(ask);
+    close(ask, true, status);
 }
 
-void Load::close(const std::shared_ptr<Ask>& ask) {
+void Load::close(const std::shared_ptr<Ask>& ask, bool lost, unsigned status) {
+    if (lost && lost_)
+        lost_(
+            {std::string(ask->request.target()), ask->kind->name, ask->front, ask->began, ask->lag, status});
     ask->over = true;
     ask->timer.cancel();
     --open_;
--- a/src/lab/load.hpp
+++ b/src/lab/load.hpp
@@ -41,6 +41,16 @@
         Millis backoff = 50;  // without advice
         std::uint64_t seed = 1;
     };
+    // A first try that was not served in time.
+    struct Lost {
+        std::string target;
+        std::string kind;
+        std::size_t front = 0;
+        Millis began = 0;     // when it was to start
+        Millis lag = 0;       // the tool's own, until its first try was written
+        unsigned status = 0;  // of the last answer; 0: none came
+    };
+    void on_lost(std::function<void(const Lost&)> told) { lost_ = std::move(told); }
     Load(asio::io_context& io, const Clock& clock, Options options);
 
     // A front that has died and come back elsewhere is told by its number.
@@ -58,7 +68,7 @@
     void arrive();
     void attempt(std::shared_ptr<Ask> ask);
     void ended(const std::shared_ptr<Ask>& ask, unsigned status, Millis retry_after);
-    void close(const std::shared_ptr<Ask>& ask);
+    void close(const std::shared_ptr<Ask>& ask, bool lost, unsigned status);
 
     asio::io_context& io_;
     const Clock& clock_;
@@ -73,6 +83,7 @@
     std::uint64_t ids_ = 0;
     std::map<std::string, ClassTally> tallies_;
     std::function<void()> done_;
+    std::function<void(const Lost&)> lost_;
 };
 
 }  // namespace cobaltshift::lab
--- a/src/lab/planners.cpp
+++ b/src/lab/planners.cpp
@@ -1,12 +1,9 @@
 #include "lab/planners.hpp"
 
-#include <signal.h>
-#include <sys/stat.h>
-
 #include <list>
-#include <sstream>
 
 #include "lab/fleet.hpp"
+#include "lab/planner_children.hpp"
 #include "names.hpp"
 #include "plan/codec.hpp"
 #include "plan/meter.hpp"
@@ -16,69 +13,6 @@
 
 namespace {
 
-std::string text_of(const tcp::endpoint& endpoint) {
-    std::ostringstream text;
-    text << endpoint;
-    return text.str();
-}
-
-// An address that was free a moment ago, and that no connection goes out from.
-tcp::endpoint free_address(asio::io_context& io) {
-    tcp::acceptor probe(io, {asio::ip::make_address("127.0.0.3"), 0});
-    return probe.local_endpoint();
-}
-
-constexpr std::size_t kPlanners = 3;
-const char* const kSecret = "a secret of the lab's own";
-
-// Planner processes on fixed addresses.
-class Planners {
-public:
-    Planners(asio::io_context& io, const Folder& folder) : io_(io), folder_(folder), children_(kPlanners) {
-        for (std::size_t p = 0; p < kPlanners; ++p) at_.push_back(free_address(io));
-        secret_ = folder.write("secret", kSecret);
-    }
-    std::string forwarders_settings() const {
-        std::string list;
-        for (const auto& at : at_) list += (list.empty() ? "\"" : ", \"") + text_of(at) + "\"";
-        return folder_.write("forwarder.toml",
-                             "[plan]\nplanners = [" + list + "]\nsecret_file = \"" + secret_ + "\"\n");
-    }
-    void start(std::size_t p, const std::string& discovery, const Archive::Options& server) {
-        std::string text = "[planner]\nlisten = \"" + text_of(at_[p]) + "\"\ndiscovery = \"" + discovery +
-                           "\"\nnumber = " + std::to_string(p) + "\nsecret_file = \"" + secret_ +
-                           "\"\ncold_from = " + std::to_string(server.cold_from) +
-                           "\nwarm_within_ms = " + std::to_string(server.warm_within) +
-                           "\nfall_multiple = " + std::to_string(server.fall_multiple) + "\n";
-        // One of them starts from nothing every time.
-        if (p > 0) text += "state_folder = \"" + folder_.path() + "/state" + std::to_string(p) + "\"\n";
-        const std::string file = folder_.write("planner" + std::to_string(p) + ".toml", text);
-        Child::Command command{beside("cobaltshift"), {"planner", "--settings", file}, {}};
-        children_[p] = std::make_unique<Child>(io_, command, nullptr);
-    }
-    void kill(std::size_t p) {
-        if (children_[p]) ++kills_;
-        children_[p].reset();
-    }
-    std::size_t kills() const { return kills_; }
-    int stop() {
-        int worst = 0;
-        for (const auto& child : children_)
-            if (child) child->signal(SIGTERM);
-        for (const auto& child : children_)
-            if (child) worst = std::max(worst, child->wait());
-        return worst;
-    }
-
-private:
-    asio::io_context& io_;
-    const Folder& folder_;
-    std::vector<tcp::endpoint> at_;
-    std::string secret_;
-    std::vector<std::unique_ptr<Child>> children_;
-    std::size_t kills_ = 0;
-};
-
 struct Seen {
     std::map<std::string, ClassTally> tallies;
     double in_time = 0, cold_peak = 0, p50 = 0, p99 = 0;
@@ -91,9 +25,7 @@
     asio::io_context io(1);
     const Clock clock;
     Folder folder;
-    Planners planners(io, folder);
-    for (std::size_t p = 1; p < kPlanners; ++p)
-        ::mkdir((folder.path() + "/state" + std::to_string(p)).c_str(), 0755);
+    PlannerChildren planners(io, folder);
     Fleet::Options options;
     options.servers = 16;
     options.forwarders = 40;
@@ -204,7 +136,7 @@
         asio::io_context io(1);
         const Clock clock;
         Folder folder;
-        const std::string secret = folder.write("secret", kSecret);
+        const std::string secret = folder.write("secret", kLabSecret);
         DiscoveryService discovery(io);
         std::vector<kelplb::ServerInfo> servers;
         for (int i = 0; i < 32; ++i) {
--- a/src/plan/planner.cpp
+++ b/src/plan/planner.cpp
@@ -315,7 +315,7 @@
 
 std::optional<Millis> Planner::publish_due() const {
     if (!turned_) return {};
-    return published_at_ + kPublishGap;
+    return published_at_ + settings_.publish_gap;
 }
 
 bool Planner::publish(Millis now) {
--- a/src/plan/planner.hpp
+++ b/src/plan/planner.hpp
@@ -36,6 +36,7 @@
     Millis warm_within = 0;
     double fall_multiple = 2;
     std::size_t forwarders = 4096;  // known at a time; further ones are refused
+    Millis publish_gap = 50;        // between plans made ahead of a tick, at the least
 };
 
 class Planner {
@@ -59,10 +60,9 @@
     // Looks at the whole again; call it every period. True: the plan has changed and has a new identity.
     bool tick(Millis now);
     // A server has been removed or taken back since: publish() is due then, ahead of the next tick. Nothing
-    // can be due within kPublishGap of the last, so that no storm of reports makes a storm of plans.
+    // can be due within publish_gap of the last, so that no storm of reports makes a storm of plans.
     std::optional<Millis> publish_due() const;
     bool publish(Millis now);  // as tick(), but for the plan alone
-    static constexpr Millis kPublishGap = 50;
 
     // For a forwarder, and counted as handed out now. `has`: the identity that it holds alive, if any.
     Plan plan(Millis now, const std::string& forwarder, PlanId has);
@@ -139,7 +139,7 @@
     std::map<std::string, Forwarder> forwarders_;
     bool ranked_ = false;
     bool turned_ = false;  // somebody's standing has, since the last publish()
-    Millis published_at_ = -kPublishGap;
+    Millis published_at_ = -1e18;
 };
 
 // The weight of a pair by rendezvous hashing (Thaler and Ravishankar, 1998): each server goes to the
--- a/src/plan_io/client.cpp
+++ b/src/plan_io/client.cpp
@@ -10,7 +10,7 @@
 namespace {
 constexpr Millis kFirstBackoff = 100, kLongestBackoff = 5000;
 constexpr std::chrono::milliseconds kConnect{1000}, kAnswer{2000};
-constexpr Millis kBeyondWait = 800;
+constexpr Millis kBeyondWait = 800, kFirstPlan = 500;
 constexpr double kRefusedPause = 0.25;  // of the reports' period, after a plan that was not taken
 }  // namespace
 
@@ -24,7 +24,11 @@
           pace_(owner.settings_.report, owner.clock_.now() + owner.random_.unit() * owner.settings_.report) {
     }  // not in step with others
 
-    void start() { later(pace_.due() - owner_->clock_.now()); }
+    // A plan is wanted soon, however seldom reports are.
+    void start() {
+        const Millis first = pace_.due() - owner_->clock_.now();
+        later(reports_ ? first : std::min(first, owner_->random_.unit() * kFirstPlan));
+    }
     void news() {
         const Millis now = owner_->clock_.now();
         // One that is out, or failing, is not hurried: its successor takes the news along.
--- a/src/plan_io/planner_node.hpp
+++ b/src/plan_io/planner_node.hpp
@@ -16,6 +16,7 @@
     PlannerNode(asio::io_context& io, ServerSettings settings);
     tcp::endpoint endpoint() const { return server_.endpoint(); }
     const Server::Counts& counts() const { return server_.counts(); }
+    std::size_t connections() const { return server_.connections(); }
     const Planner& core() const { return planner_; }
     void stop();
 
--- a/src/plan_io/server.cpp
+++ b/src/plan_io/server.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds kIdle{60}, kReading{5}, kWriting{5};  // the slow are dropped
+constexpr std::chrono::seconds kIdle{60}, kReading{5};  // the slow are dropped
 constexpr Millis kLongestWait = 20000;
 constexpr std::chrono::milliseconds kAcceptRetry{20};
 
@@ -171,7 +171,7 @@
                                                          std::to_string(out_.result_int()), out_.body()}));
         out_.prepare_payload();
         owner_.counts_.bytes_out += out_.body().size();
-        stream_.expires_after(kWriting);
+        stream_.expires_after(std::chrono::milliseconds(static_cast<long>(owner_.settings_.writing)));
         http::async_write(stream_, out_, [self = shared_from_this()](error_code ec, std::size_t) {
             if (ec == beast::error::timeout) ++self->owner_.counts_.dropped;
             if (ec || !self->out_.keep_alive()) return self->leave();
--- a/src/plan_io/server.hpp
+++ b/src/plan_io/server.hpp
@@ -36,6 +36,7 @@
     // Called when a report has made publish_due().
     void on_turn(std::function<void()> told) { on_turn_ = std::move(told); }
     tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+    std::size_t connections() const { return connections_.size(); }
     void changed();  // the plan has: all who wait are answered
     void stop();
     const Counts& counts() const { return counts_; }
--- a/src/plan_io/settings.hpp
+++ b/src/plan_io/settings.hpp
@@ -25,6 +25,7 @@
     boost::asio::ip::tcp::endpoint discovery;
     Millis tick = 500;
     std::size_t connections = 8192;
+    Millis writing = 5000;     // for an answer that its reader does not take; then it is dropped
     std::string state_folder;  // none: starts from nothing
     std::string secret_file;
     PlannerSettings core;
--- a/tests/plan_io_test.cpp
+++ b/tests/plan_io_test.cpp
@@ -36,6 +36,16 @@
     std::string path;
 };
 
+template <class Happened>
+bool eventually(Happened happened) {  // bounded only for what never comes
+    const auto start = std::chrono::steady_clock::now();
+    while (!happened()) {
+        if (std::chrono::steady_clock::now() - start > kPatience) return false;
+        std::this_thread::yield();
+    }
+    return true;
+}
+
 // A planner on a thread of its own.
 class RunningPlanner {
 public:
@@ -165,6 +175,44 @@
     EXPECT_EQ(planner.ask([](plan::PlannerNode& n) { return n.counts().reports; }), 0U);
 }
 
+// Asks for plan after plan and reads none: dropped within its time, and nobody else waits for it.
+TEST(PlanServer, AReaderThatDoesNotReadItsPlanIsDropped) {
+    FakeDiscovery discovery;
+    std::vector<json> hosts;
+    for (int i = 0; i < 1500; ++i) hosts.push_back(host("archive-" + std::to_string(i), kNowhere));
+    discovery.say(5, true, hosts);
+    plan::ServerSettings settings = settings_for(discovery.at());
+    settings.writing = 200;
+    RunningPlanner planner(settings);
+    Stranger other(planner.at, "");
+    const std::string session = other.session();
+    int count = 0;
+    const auto whole = [&] {
+        return other.ask(other.plan(session, ++count)) == 200U && other.last.body().size() > 20000;
+    };
+    ASSERT_TRUE(eventually(whole));
+    Stranger slow(planner.at, "");
+    slow.name = "slow";
+    const std::string its = slow.session();
+    std::string questions;  // their answers are some 100 MB, more than any socket holds
+    for (int i = 1; i <= 3000; ++i) questions += slow.plan(its, i);
+    std::thread asking([&] {
+        try {
+            slow.app.wire.write(questions);
+        } catch (const std::exception&) {
+        }
+    });
+    const auto dropped = [&] { return planner.ask([](plan::PlannerNode& n) { return n.counts().dropped; }); };
+    while (dropped() == 0 && whole()) {
+    }
+    EXPECT_EQ(dropped(), 1U);
+    EXPECT_TRUE(whole()) << "the others are served on";
+    asking.join();
+    EXPECT_TRUE(eventually([&] {
+        return planner.ask([](plan::PlannerNode& n) { return n.connections(); }) == 1U;
+    })) << "only the other's is left";
+}
+
 TEST(PlanServer, RefusesReplaysAndSessionsThatAreOver) {
     TempFolder folder;
     FakeDiscovery discovery;
@@ -334,16 +382,6 @@
     tcp::endpoint at;
 };
 
-template <class Happened>
-bool eventually(Happened happened) {  // bounded only for what never comes
-    const auto start = std::chrono::steady_clock::now();
-    while (!happened()) {
-        if (std::chrono::steady_clock::now() - start > kPatience) return false;
-        std::this_thread::yield();
-    }
-    return true;
-}
-
 TEST(PlanEndToEnd, WhatAnotherForwarderFoundOutSparesThisOneTheServer) {
     TempFolder folder;
     const std::string secret = folder.file("secret", kKey);
@@ -383,6 +421,45 @@
     EXPECT_EQ(bad.seen().size(), 0U);
 }
 
+// With periods of a minute, what arrives in time can only have been told ahead of them.
+TEST(PlanEndToEnd, FailuresAndRemovalsAreToldAheadOfEveryPeriod) {
+    FakeServer good, more, others;
+    FakeServer failing([](Wire& w, const HttpRequest&, int) { return w.respond(500), true; });
+    const std::vector<json> hosts = {host("good", good.at()), host("more", more.at()),
+                                     host("others", others.at()), host("failing", failing.at())};
+    FakeDiscovery discovery;
+    discovery.say(5, true, hosts);
+    plan::ServerSettings slow = settings_for(discovery.at());
+    slow.tick = 60000;
+    RunningPlanner planner(slow);
+    EXPECT_TRUE(eventually([&] { return discovery.wait_for(2).size() >= 2; }));  // the list is told
+    plan::ClientSettings settings;
+    settings.planners = {planner.at};
+    settings.report = 60000, settings.wait = 20000;
+    AdvisedSidecar sidecar(a_config(kNowhere, hosts), settings);
+    App app(sidecar.at);
+    while (failing.seen().empty()) ASSERT_EQ(app.ask(App::request("listen")).result_int(), 200U);
+    EXPECT_TRUE(eventually([&] { return sidecar.counts().reports > 0; }));
+    // Another forwarder's report removes one: the plan comes without a tick.
+    Stranger other(planner.at, "");
+    plan::Meter meter("f1", 7, 1, 1);
+    const ServerId id = server_number("good", [](ServerId) { return false; });
+    meter.listed({{id, 0, 0, Phase::on, 0, 1}}, true);
+    const std::string session = other.session();
+    EXPECT_TRUE(eventually([&] { return sidecar.counts().plans > 0; }));
+    for (int count = 1; count <= 2; ++count) {
+        const std::string body = encode(meter.report(0, {}));
+        EXPECT_EQ(
+            other.ask(other.message("POST", "/v1/report", body, "report", session, std::to_string(count))),
+            200U);
+        for (int i = 0; i < 30; ++i) meter.sent(id), meter.ended(id, Outcome::errored, 5, false);
+    }
+    EXPECT_TRUE(eventually([&] { return sidecar.counts().plans > 1; }));
+    const std::size_t before = good.seen().size();
+    for (int i = 0; i < 60; ++i) EXPECT_EQ(app.ask(App::request("listen")).result_int(), 200U);
+    EXPECT_EQ(good.seen().size(), before);
+}
+
 TEST(PlanEndToEnd, PlannersThatAreDeadSilentOrStrangersCostNoRequest) {
     FakeServer server;
     // Refused; takes connections and says nothing; answers with noise.
--- a/tests/plan_test.cpp
+++ b/tests/plan_test.cpp
@@ -418,7 +418,7 @@
         office.planner.report(office.now + 1, m.report(0, {}));
     }
     ASSERT_TRUE(office.planner.publish_due());
-    EXPECT_EQ(*office.planner.publish_due(), office.now + Planner::kPublishGap);
+    EXPECT_EQ(*office.planner.publish_due(), office.now + office.settings.publish_gap);
 }
 
 TEST(ReportPace, NewsGoesAtOnceAndAStormOfItDoublesTheRateAtMost) {
