Begin the world made of models: kernel, network, disk, bus, checkers, replay and shrinker

Need: the fault world is one struct that knows every subsystem; each later one would be threaded through it or write a second.

Change: src/sim, free of I/O. Virtual time with streams by name (PCG and XXH3; taken twice is an error), a network with faults by link, a disk that forgets what was not synced, and models of servers, clients with retries, discovery, forwarders and planners that register themselves and tell a bus what happened. One checker a rule hears it. The old world stays until both have been held side by side.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -6,6 +6,7 @@
 
 #include "lab/demo.hpp"
 #include "lab/scenario.hpp"
+#include "lab/sim_world.hpp"
 
 namespace {
 
@@ -39,6 +40,14 @@
     serve->add_option("--servers", servers)->check(CLI::Range(1, 200));
     serve->add_option("--forwarders", forwarders)->check(CLI::Range(1, 100));
     serve->add_option("--seed", run.seed);
+    Replay again;
+    CLI::App* replayed =
+        app.add_subcommand("replay", "plays one day of the world and shows what broke a rule");
+    replayed->add_option("SEED", again.seed, "of a drawn day");
+    replayed->add_option("--case", again.file, "plays the case in this file instead");
+    replayed->add_flag("--all", again.all, "prints all that happens");
+    replayed->add_flag("--shrink", again.shorten, "looks for a smaller case that breaks the same rule");
+    replayed->add_option("--write", again.write, "writes the smaller case to this file");
     for (const Scenario& scenario : scenarios()) options(app.add_subcommand(scenario.name, scenario.about));
     try {
         app.parse(argc, argv);
@@ -55,6 +64,7 @@
             return 0;
         }
         if (show->parsed()) return measured(demo(run), json);
+        if (replayed->parsed()) return replay(again);
         if (serve->parsed()) return up(servers, forwarders, run.seed);
         for (const Scenario& scenario : scenarios())
             if (app.got_subcommand(scenario.name)) return measured(scenario.run(run), json);
--- /dev/null
+++ b/src/lab/sim_world.hpp
@@ -0,0 +1,22 @@
+// The fault world made of models (src/sim): days played over all cores, and single ones looked at closely.
+#pragma once
+
+#include "lab/scenario.hpp"
+
+namespace cobaltshift::lab {
+
+// Drawn days; no rule is broken.
+Result world(const Run& run);
+// The same arrivals and troubles with planners and without.
+Result world_gain(const Run& run);
+// Plays the day of a seed, or of a case's file, and prints what its findings' subjects went through, or with
+// `all` everything. With `shorten` the smallest case found that still breaks the same rule is printed and, if
+// a name is given, written there. Exit code: 0 no rule is broken, 1 one is, 2 the file can't be read.
+struct Replay {
+    std::uint64_t seed = 1;
+    std::string file, write;
+    bool all = false, shorten = false;
+};
+int replay(const Replay& what);
+
+}  // namespace cobaltshift::lab
--- /dev/null
+++ b/src/sim/checkers/plan.cpp
@@ -0,0 +1,167 @@
+// Rules of the plan: no forwarder goes back to an older one; none outlives its life; grants in force stay
+// within the planners' part of a cold server's budget; and two reporting periods after the last fault of the
+// way all hold one plan of each planner. One that changed while a forwarder's question was out is on its way
+// to it: the answer to that question must bring it, or, if the answer left before the change, the next one.
+#include <algorithm>
+#include <map>
+
+#include "sim/models/archive.hpp"
+#include "sim/models/forwarder.hpp"
+#include "sim/models/planner.hpp"
+
+namespace cobaltshift::sim {
+
+namespace {
+
+constexpr Millis kLook = 100, kReportEvery = 1000, kPatience = 1800;
+// Of a cold budget, for grants: what forwarders' own rule, half of it, and chance leave. Stated here again,
+// so that the planners' own figure is held against something.
+constexpr double kPlannersPart = 0.375;
+
+class PlanRules : public Part {
+public:
+    explicit PlanRules(Scene& scene)
+        : scene_(scene), servers_(scene.day), planners_(scene.day.count("planners", 3)) {
+        scene.bus.on<ForwarderUp>(kName, [this](const ForwarderUp& f) {
+            for (Node p = 0; p < planners_; ++p) {
+                links_[{f.forwarder, p}] = {};
+                lagging_.erase({f.forwarder, p});
+            }
+        });
+        scene.bus.on<PlannerTurned>(kName, [this](const PlannerTurned& t) {
+            current_[t.planner] = {t.id, -1};
+        });
+        scene.bus.on<PlanChanged>(kName, [this](const PlanChanged& c) {
+            current_[c.planner] = {c.id, scene_.kernel.now()};
+        });
+        scene.bus.on<PlanAsked>(kName, [this](const PlanAsked& a) {
+            Link& link = links_[{a.forwarder, a.planner}];
+            link.asked_at = scene_.kernel.now(), link.out = true, link.left_at = -1;
+        });
+        scene.bus.on<PlanLeft>(kName, [this](const PlanLeft& l) {
+            links_[{l.forwarder, l.planner}].left_at = scene_.kernel.now();
+        });
+        scene.bus.on<PlanCame>(kName, [this](const PlanCame& c) { came(c); });
+    }
+    void start() override {
+        Millis quiet = 0;
+        for (const Fault& fault : scene_.day.faults)
+            if (fault.kind == "planner-down" || fault.kind == "lossy" || fault.kind == "split" ||
+                fault.kind == "lying" || fault.kind == "restart")
+                quiet = std::max(quiet, fault.at + fault.length);
+        if (planners_ == 0) return;
+        const Millis first = quiet + 2 * kReportEvery;
+        scene_.kernel.at(first, [this] { agreed(); });
+        scene_.kernel.at(std::max(first, scene_.day.length) + 8000, [this] { agreed(); });
+        look();
+    }
+    void over() override {
+        for (const auto& [who, change] : lagging_) lags(who.first, who.second);
+    }
+
+private:
+    static constexpr const char* kName = "plan";
+    using Pair = std::pair<Node, Node>;  // forwarder, planner
+    struct Link {
+        plan::PlanId highest;
+        Millis asked_at = -1, left_at = -1;
+        bool out = false;
+    };
+    struct Change {
+        plan::PlanId id;
+        Millis at = -1;
+    };
+    static std::string name(Node forwarder) { return "forwarder " + std::to_string(forwarder); }
+
+    void came(const PlanCame& c) {
+        Link& link = links_[{c.forwarder, c.planner}];
+        if (c.seen < link.highest)
+            scene_.broken(kName, name(c.forwarder) + " went back to an older plan", name(c.forwarder));
+        link.highest = std::max(link.highest, c.seen);
+        if (!c.newest) return;
+        link.out = false;
+        const auto due = lagging_.find({c.forwarder, c.planner});
+        if (due == lagging_.end() || link.left_at <= due->second.at) return;
+        if (c.seen < due->second.id) lags(c.forwarder, c.planner);
+        lagging_.erase(due);
+    }
+    void agreed() {
+        for (Node p = 0; p < planners_; ++p) {
+            const plan::Planner* core = scene_.all<PlannerDesk>().at(p)->core();
+            if (!core) continue;
+            Node f = 0;
+            for (const Forwarder* forwarder : scene_.all<Forwarder>()) {
+                const bool good = forwarder->follower().holds(p, scene_.kernel.now()) &&
+                                  forwarder->follower().seen()[p] == core->id();
+                const Link& link = links_[{f, p}];
+                if (!good && link.out && link.asked_at <= current_[p].at)
+                    lagging_[{f, p}] = {core->id(), current_[p].at};
+                else if (!good)
+                    lags(f, p);
+                ++f;
+            }
+        }
+    }
+    void lags(Node f, Node p) {
+        const plan::Planner* core = scene_.all<PlannerDesk>().at(p)->core();
+        const auto& follower = scene_.all<Forwarder>().at(f)->follower();
+        scene_.broken(kName,
+                      name(f) + " has " + name_of(follower.seen()[p]) +
+                          (follower.holds(p, scene_.kernel.now()) ? "" : ", ended,") + " of planner " +
+                          std::to_string(p) + "'s " + (core ? name_of(core->id()) : "none") +
+                          " after the faults",
+                      name(f));
+    }
+    void look() {
+        const Millis now = scene_.kernel.now();
+        bool any_up = false, any_cold = false;
+        for (const PlannerDesk* desk : scene_.all<PlannerDesk>()) any_up = any_up || desk->core();
+        for (const Archive* server : scene_.all<Archive>()) any_cold = any_cold || server->cold();
+        if (any_up) alive_at_ = now;
+        const bool none_may = !any_up && now > alive_at_ + plan::PlannerSettings().life + kPatience;
+        if (any_cold || none_may) {
+            std::map<kelplb::ServerId, double> granted;
+            Node f = 0;
+            for (const Forwarder* forwarder : scene_.all<Forwarder>()) {
+                const auto guidance = forwarder->follower().guidance(now);
+                if (none_may && !guidance.servers.empty())
+                    scene_.broken(kName, "a plan outlives its life at " + name(f), name(f));
+                for (const auto& g : guidance.servers) {
+                    if (g.server == 0 || g.server > scene_.all<Archive>().size()) continue;  // a liar's
+                    if (g.born == scene_.all<Archive>().at(g.server - 1)->born())
+                        granted[g.server] += g.cold_rate;
+                }
+                ++f;
+            }
+            for (const Archive* server : scene_.all<Archive>()) {
+                if (!server->cold()) continue;
+                const double can = servers_.fall_multiple * servers_.cold_from *
+                                   static_cast<double>(servers_.slots) / servers_.work *
+                                   1000;  // attempts a second
+                const double part = granted[server->id()] / (kPlannersPart * can);
+                // With a majority of liars the module's own bound is all that is left, and the budget shows
+                // it.
+                if (scene_.day.count("liars", 0) >= planners_ / 2 + 1) continue;
+                scene_.at_least("grant peak", part);
+                if (part > 1)
+                    scene_.broken(kName, "grants in force exceed the planners' part of a cold budget",
+                                  "server " + std::to_string(server->id()));
+            }
+        }
+        if (now < scene_.day.length + 3000) scene_.kernel.after(kLook, [this] { look(); });
+    }
+
+    Scene& scene_;
+    const ArchiveSettings servers_;
+    const std::size_t planners_;
+    std::map<Pair, Link> links_;
+    std::map<Node, Change> current_;
+    std::map<Pair, Change> lagging_;
+    Millis alive_at_ = 0;
+};
+
+const Registered kChecker = Registered::checker("plan", [](Scene& scene) { scene.add<PlanRules>(scene); });
+
+}  // namespace
+
+}  // namespace cobaltshift::sim
--- /dev/null
+++ b/src/sim/models/forwarder.cpp
@@ -0,0 +1,284 @@
+#include "sim/models/forwarder.hpp"
+
+#include <algorithm>
+
+#include "plan/codec.hpp"
+#include "sim/models/discovery.hpp"
+#include "sim/models/planner.hpp"
+
+namespace cobaltshift::sim {
+
+using kelplb::Outcome;
+
+namespace {
+constexpr Millis kReportEvery = 1000, kQuestionPatience = 1800, kRefusedPause = 250;
+constexpr Millis kDedup = 3000;
+}  // namespace
+
+Forwarder::Forwarder(Scene& scene, Node number)
+    : scene_(scene),
+      number_(number),
+      planners_(scene.day.count("planners", 3)),
+      endpoint_(scene.network.endpoint("forwarder-" + std::to_string(number))),
+      lots_(scene.kernel.stream("forwarder/" + std::to_string(number))) {}
+
+kelplb::Settings Forwarder::settings() const {
+    const ArchiveSettings servers(scene_.day);
+    kelplb::Settings s;
+    const auto kind = [](kelplb::Effect effect) {
+        kelplb::RequestClass c;
+        c.effect = effect;
+        c.dedup_scope = kelplb::DedupScope::all;
+        c.dedup_window = kDedup;
+        c.aim = Clients::kAim;
+        return c;
+    };
+    s.classes = {kind(kelplb::Effect::repeatable), kind(kelplb::Effect::once), kind(kelplb::Effect::by_key)};
+    s.siblings = static_cast<std::uint32_t>(scene_.day.count("forwarders", 12));
+    s.my_number = static_cast<std::uint32_t>(number_);
+    s.max_attempts = 4;
+    s.cold_from = servers.cold_from;
+    s.warm_within = servers.warm_within;
+    s.fall_multiple = servers.fall_multiple;
+    return s;
+}
+
+void Forwarder::start() {
+    if (life_ == 0)
+        scene_.all<Discovery>().at(0)->subscribe(
+            [this](const kelplb::ServerInfo& info) { told({info}, false); });
+    ++life_;
+    scene_.bus.tell(ForwarderUp{number_});
+    open_.clear();
+    events_.clear();
+    list_.clear();
+    left_alone_.clear();
+    guided_ = false, guide_at_ = 0;
+    balancer_ = std::make_unique<kelplb::Balancer>(settings(), scene_.day.seed * 1000 + number_ * 10 + life_);
+    meter_ = std::make_unique<plan::Meter>("f" + std::to_string(number_), life_, 3, planners_);
+    follower_ = std::make_unique<plan::Follower>(planners_);
+    give(kelplb::Started{});
+    told(scene_.all<Discovery>().at(0)->list(), true);
+    const Millis now = scene_.kernel.now();
+    desks_.clear();
+    desks_.resize(planners_);
+    for (Node p = 0; p < planners_; ++p) {
+        desks_[p].pace = std::make_unique<plan::Pace>(kReportEvery, now + kReportEvery * lots_.unit());
+        await_report(p);
+        scene_.kernel.after(500 * lots_.unit(), [this, p, life = life_] {
+            if (life_ == life) ask(p);
+        });
+    }
+}
+
+void Forwarder::restart() {
+    for (const auto& [id, open] : open_)
+        if (!open.ended)
+            for (Clients* clients : scene_.all<Clients>()) clients->dropped(open.request);
+    start();
+}
+
+void Forwarder::arrived(RequestNo request, Kind kind, Millis deadline, Millis work, bool repeat) {
+    const kelplb::RequestId id = next_++;
+    Open& open = open_[id];
+    open.request = request;
+    open.kind = kind;
+    open.work = work;
+    const auto index = static_cast<std::uint32_t>(kind);
+    meter_->arrived(index);
+    give(kelplb::RequestArrived{id, index, deadline - scene_.kernel.now(), 0, repeat});
+}
+
+void Forwarder::told(const std::vector<kelplb::ServerInfo>& servers, bool whole) {
+    if (whole) list_.clear();
+    for (const auto& info : servers) list_[info.id] = info;
+    meter_->listed(servers, whole);
+    scene_.bus.tell(Told{number_, servers, whole});
+    give(kelplb::ServerList{whole ? kelplb::ListKind::full : kelplb::ListKind::incremental, servers});
+    if (planners_ > 0) guide();  // guidance speaks of lives: a new one may be spoken of already
+}
+
+void Forwarder::give(kelplb::Event event) {
+    events_.push_back(std::move(event));
+    if (handling_) return;
+    handling_ = true;
+    std::vector<kelplb::Action> actions;
+    while (!events_.empty()) {
+        const kelplb::Event next = std::move(events_.front());
+        events_.pop_front();
+        actions.clear();
+        balancer_->handle(scene_.kernel.now(), next, actions);
+        for (const kelplb::Action& action : actions) std::visit([&](const auto& a) { carry_out(a); }, action);
+    }
+    handling_ = false;
+}
+
+void Forwarder::carry_out(const kelplb::Send& a) {
+    const auto at = open_.find(a.id);
+    if (at == open_.end() || at->second.ended)
+        return scene_.broken("final answer", "sent after its end", "forwarder " + std::to_string(number_));
+    Open& open = at->second;
+    const auto attempt = static_cast<std::uint32_t>(open.sent.size());
+    open.sent.push_back(a.server);
+    open.sent_at.push_back(scene_.kernel.now());
+    open.out.push_back(true);
+    scene_.bus.tell(Sent{open.request, number_, a.server, attempt});
+    meter_->sent(a.server);
+    for (Archive* server : scene_.all<Archive>()) {
+        if (server->id() != a.server) continue;
+        const Archive::Job job{this, life_, a.id, attempt, open.request, open.work, endpoint_};
+        scene_.network.pass(endpoint_, server->endpoint(), [server, job] { server->receive(job); });
+    }
+    scene_.kernel.at(a.try_until, [this, id = a.id, attempt, life = life_] {
+        ended(life, id, attempt, Outcome::overdue);
+    });
+}
+
+void Forwarder::carry_out(const kelplb::Cancel& a) {
+    scene_.kernel.after(0, [this, id = a.id, attempt = a.attempt, life = life_] {
+        ended(life, id, attempt, Outcome::recalled);
+    });
+}
+
+void Forwarder::carry_out(const kelplb::SetTimer& a) {
+    scene_.kernel.at(a.at, [this, token = a.token, life = life_] {
+        if (life_ == life) give(kelplb::TimerFired{token});
+    });
+}
+
+void Forwarder::ended(std::uint64_t life, kelplb::RequestId id, std::uint32_t attempt, Outcome outcome) {
+    if (life != life_) return;
+    const auto at = open_.find(id);
+    if (at == open_.end() || !at->second.out[attempt]) return;
+    Open& open = at->second;
+    open.out[attempt] = false;
+    const Millis now = scene_.kernel.now(), duration = now - open.sent_at[attempt];
+    const kelplb::ServerId server = open.sent[attempt];
+    const bool late = duration > Clients::kAim;
+    scene_.bus.tell(AttemptOver{open.request, number_, server, attempt, outcome});
+    meter_->ended(server, outcome, duration, late);
+    if (plan::is_news(outcome, late, left_alone_.count(server) > 0))
+        for (Node p = 0; p < desks_.size(); ++p)
+            if (desks_[p].pace->news(now)) await_report(p);
+    kelplb::AttemptEnded event{id, attempt, outcome, duration, open.ended};
+    if (outcome == Outcome::completed && !open.ended) {
+        const Clients::Ask& ask = scene_.all<Clients>().at(0)->ask(open.request);
+        answer(id, now <= ask.aim_at ? End::in_time : End::late, 0);
+        event.request_ended = true;
+    }
+    give(event);
+    forget(id);
+}
+
+void Forwarder::answer(kelplb::RequestId id, End end, Millis retry_in) {
+    const auto at = open_.find(id);
+    if (at == open_.end())
+        return scene_.broken("final answer", "an answer to what is not open",
+                             "forwarder " + std::to_string(number_));
+    at->second.ended = true;
+    const RequestNo request = at->second.request;
+    scene_.bus.tell(Answered{request, number_, end});
+    forget(id);
+    scene_.all<Clients>().at(0)->answered(request, end, retry_in);
+}
+
+void Forwarder::forget(kelplb::RequestId id) {
+    const auto at = open_.find(id);
+    if (at == open_.end() || !at->second.ended) return;
+    if (std::count(at->second.out.begin(), at->second.out.end(), true) == 0) open_.erase(at);
+}
+
+// ---- The plan --------------------------------------------------------------------------------------------
+
+void Forwarder::await_report(Node planner) {
+    Desk& desk = desks_[planner];
+    const std::uint64_t timer = ++desk.report_timer;
+    scene_.kernel.at(desk.pace->due(), [this, planner, timer, life = life_] {
+        if (life_ == life && desks_[planner].report_timer == timer) report(planner);
+    });
+}
+
+void Forwarder::report(Node planner) {
+    desks_[planner].pace->sent(scene_.kernel.now(), lots_.unit());
+    for (const auto& [id, info] : list_) meter_->standing(id, false);
+    for (const kelplb::ServerId id : balancer_->removed()) meter_->standing(id, true);
+    const plan::Report said = meter_->report(planner, follower_->seen());
+    PlannerDesk* to = scene_.all<PlannerDesk>().at(planner);
+    scene_.network.send(
+        endpoint_, to->endpoint(), encode(said),
+        [this, to, planner, life = life_, sequence = said.sequence](const std::string& bytes) {
+            const auto taken = to->report(bytes);
+            if (!taken || *taken == plan::Planner::Taken::refused) return;
+            const bool full = *taken == plan::Planner::Taken::want_full;
+            scene_.network.send(to->endpoint(), endpoint_, "ok",
+                                [this, planner, life, sequence, full](const std::string&) {
+                                    if (life_ == life) meter_->acknowledged(planner, sequence, full);
+                                });
+        });
+    await_report(planner);
+}
+
+void Forwarder::ask(Node planner) {
+    Desk& desk = desks_[planner];
+    const std::uint64_t question = ++questions_;
+    desk.question = question;
+    const Millis asked_at = scene_.kernel.now();
+    const plan::PlanId has =
+        follower_->holds(planner, asked_at) ? follower_->seen()[planner] : plan::PlanId{};
+    scene_.bus.tell(PlanAsked{number_, planner, question});
+    PlannerDesk* to = scene_.all<PlannerDesk>().at(planner);
+    scene_.network.send(endpoint_, to->endpoint(), "?",
+                        [this, to, planner, question, has, asked_at, life = life_](const std::string&) {
+                            to->asked(number_, "f" + std::to_string(number_), question, has,
+                                      [this, planner, question, asked_at, life](const std::string& bytes) {
+                                          if (life_ == life) came(planner, question, asked_at, bytes);
+                                      });
+                        });
+    scene_.kernel.after(kQuestionPatience, [this, planner, question, life = life_] {
+        if (life_ == life && desks_[planner].question == question) ask(planner);
+    });
+}
+
+void Forwarder::came(Node planner, std::uint64_t question, Millis asked_at, const std::string& bytes) {
+    std::string why;
+    auto heard = plan::decode_plan(bytes, why);
+    const bool newest = desks_[planner].question == question;
+    bool taken = false;
+    if (heard && heard->planner == planner) {
+        const auto how = follower_->take(scene_.kernel.now(), asked_at, std::move(*heard));
+        taken = how == plan::Follower::Taken::taken || how == plan::Follower::Taken::renewed;
+        guide();
+    }
+    scene_.figure(taken ? "plans taken" : "plans refused") += 1;
+    scene_.bus.tell(PlanCame{number_, planner, question, newest, taken, follower_->seen()[planner]});
+    if (!newest) return;
+    if (taken) return ask(planner);
+    scene_.kernel.after(kRefusedPause * (0.5 + lots_.unit()), [this, planner, question, life = life_] {
+        if (life_ == life && desks_[planner].question == question) ask(planner);
+    });
+}
+
+void Forwarder::guide() {
+    const Millis now = scene_.kernel.now();
+    kelplb::Guidance guidance = follower_->guidance(now);
+    if (guidance.servers.empty() && !guided_) return;
+    guided_ = !guidance.servers.empty();
+    left_alone_.clear();
+    for (const auto& one : guidance.servers)
+        if (one.removed) left_alone_.insert(one.server);
+    give(std::move(guidance));
+    const auto next = follower_->next_end(now);
+    if (!next || *next == guide_at_) return;
+    guide_at_ = *next;
+    scene_.kernel.at(*next, [this, next = *next, life = life_] {
+        if (life_ == life && guide_at_ == next) guide();
+    });
+}
+
+namespace {
+const Registered kModel = Registered::model("forwarder", [](Scene& scene) {
+    for (Node f = 0; f < scene.day.count("forwarders", 12); ++f) scene.add<Forwarder>(scene, f);
+});
+}  // namespace
+
+}  // namespace cobaltshift::sim
--- /dev/null
+++ b/src/sim/plan_facts.hpp
@@ -0,0 +1,56 @@
+// What models tell the bus of planners and the way to them.
+#pragma once
+
+#include "plan/types.hpp"
+#include "sim/facts.hpp"
+
+namespace cobaltshift::sim {
+
+inline std::string name_of(plan::PlanId id) {
+    return std::to_string(id.epoch) + "." + std::to_string(id.sequence);
+}
+
+struct PlannerTurned {
+    Node planner;
+    bool up;
+    plan::PlanId id;
+    std::string text() const {
+        return "planner " + std::to_string(planner) + (up ? " starts from " + name_of(id) : " dies");
+    }
+};
+struct PlanChanged {
+    Node planner;
+    plan::PlanId id;
+    std::string text() const { return "planner " + std::to_string(planner) + " has plan " + name_of(id); }
+};
+struct PlanAsked {
+    Node forwarder, planner;
+    std::uint64_t question;
+    std::string text() const {
+        return "forwarder " + std::to_string(forwarder) + " asks planner " + std::to_string(planner) +
+               ", question " + std::to_string(question);
+    }
+};
+struct PlanLeft {  // the planner
+    Node forwarder, planner;
+    std::uint64_t question;
+    plan::PlanId id;
+    std::string text() const {
+        return "planner " + std::to_string(planner) + " answers question " + std::to_string(question) +
+               " with " + name_of(id) + " to forwarder " + std::to_string(forwarder);
+    }
+};
+struct PlanCame {  // to the forwarder
+    Node forwarder, planner;
+    std::uint64_t question;
+    bool newest;  // of that planner's questions
+    bool taken;
+    plan::PlanId seen;  // afterwards
+    std::string text() const {
+        return "forwarder " + std::to_string(forwarder) + (taken ? " takes" : " refuses") +
+               " the answer to question " + std::to_string(question) + " of planner " +
+               std::to_string(planner) + ", has " + name_of(seen);
+    }
+};
+
+}  // namespace cobaltshift::sim
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -14,10 +14,11 @@
     cp "$work/$file" "$work/kept"
     perl -0pi -e "$change" "$work/$file"
     if cmp -s "$work/kept" "$work/$file"; then echo "$name: changes nothing any more" >&2; exit 2; fi
-    cmake --build "$work/build" -j"$(nproc)" --target cobaltshift_core_tests kelplb_tests >"$work/log" 2>&1 ||
+    cmake --build "$work/build" -j"$(nproc)" --target cobaltshift_core_tests cobaltshift_sim_tests kelplb_tests >"$work/log" 2>&1 ||
         { echo "$name: does not build" >&2; tail -20 "$work/log" >&2; exit 2; }
     local found
     found=$( { "$work/build/tests/cobaltshift_core_tests" --gtest_brief=1 || true
+               "$work/build/tests/cobaltshift_sim_tests" --gtest_brief=1 || true
                "$work/build/tests/kelplb_tests" --gtest_brief=1 || true; } 2>&1 |
              sed -n 's/^\[  FAILED  \] \([A-Za-z]*\.[A-Za-z]*\) (.*/\1/p' | sort -u | tr '\n' ' ')
     if [ -n "$found" ]; then echo "$name: found by $found"; else echo "$name: NOT FOUND"; survivors=$((survivors + 1)); fi
@@ -35,6 +36,8 @@
 run late_double src/plan/follower.cpp 's/if \(held && held->plan\.id == plan\.id && until <= held->until\)[^;]*;//'
 run part_removed src/plan/planner.cpp 's/if \(room_to_remove\(\)\) remove/remove/'
 run part_listed src/plan/planner.cpp 's/    shed_removals\(\);//'
+run news src/plan/pace.hpp 's/        due_ = soon;//'
+run publish src/plan/planner.cpp 's/if \(!turned_\) return \{\};/return {};/'
 run module_expiry src/balance.cpp 's/return now < guided_until;/return guided_until > 0;/'
 run module_half src/balance.cpp 's/return guided\(\) && 2 \* out <= listed;/return guided();/'
 run module_life src/balance.cpp 's/ \|\| at->second\.info\.online_since != one\.born//'
--- a/tests/packages.sh
+++ b/tests/packages.sh
@@ -12,6 +12,8 @@
 want /usr/include/CLI/CLI.hpp libcli11-dev
 want /usr/include/toml++/toml.h libtomlplusplus-dev
 want /usr/include/sodium.h libsodium-dev
+want /usr/include/pcg_random.hpp libpcg-cpp-dev
+want /usr/include/xxhash.h libxxhash-dev
 case "${1:-build}" in test | check) want /usr/include/gtest/gtest.h libgtest-dev ;; esac
 case "${1:-build}" in check) want clang-format-14 clang-format-14 ;; esac
 [ ${#need[@]} -gt 0 ] || exit 0
