--- /dev/null
+++ b/src/lab/experiment.cpp
@@ -0,0 +1,195 @@
+#include "lab/experiment.hpp"
+
+#include <algorithm>
+
+#include "settings_file/section.hpp"
+#include "sim/scene.hpp"
+
+namespace cobaltshift::lab {
+
+namespace {
+
+constexpr std::size_t kMostSeeds = 1000000, kMostVariants = 1000, kMostFaults = 10000;
+
+// What a case's models and checkers read, with its range. A name that nobody reads would vary nothing.
+struct Known {
+    const char* name;
+    double least, most;
+};
+constexpr Known kSettings[] = {
+    {"forwarders", 0, 2000},
+    {"servers", 0, 500},
+    {"planners", 0, 15},
+    {"load", 0, 10},
+    {"skew", 0, 4},
+    {"client.retries", 0, 3},
+    {"discovery.notice_ms", 0, 60000},
+    {"planner.subset", 0, 500},
+    {"server.slots", 1, 1000},
+    {"server.queue", 0, 10000},
+    {"server.work_ms", 0.1, 10000},
+    {"server.cold_from", 0.01, 1},
+    {"server.warm_within_ms", 0, 600000},
+    {"server.fall_multiple", 1, 100},
+    {"server.fall_window_ms", 1, 60000},
+};
+const Known* known(const std::string& name) {
+    for (const Known& one : kSettings)
+        if (name == one.name) return &one;
+    return nullptr;
+}
+
+void read_set(Section section, std::map<std::string, double>& set) {
+    for (const std::string& key : section.keys()) {
+        const Known* one = known(key);
+        if (!one) continue;  // done() complains
+        double value = 0;
+        section.number(key.c_str(), value, one->least, one->most);
+        set[key] = value;
+    }
+    section.done();
+}
+
+}  // namespace
+
+Experiment read_experiment(const std::string& text, const std::string& file) {
+    Experiment e;
+    const toml::table table = parsed_toml(text, file);
+    Section root(table, "", file);
+    root.need("name"), root.text("name", e.name);
+    root.text("about", e.about);
+    e.day.length = 20000;
+    root.number("length_ms", e.day.length, 100, 3.6e6);
+    read_set(root.section("set"), e.day.set);
+
+    Section troubles = root.section("troubles");
+    sim::Troubles& t = e.troubles;
+    t.crash_part = t.error_part = t.pause_part = 0, t.drains = false;
+    troubles.number("crash_part", t.crash_part, 0, 1);
+    troubles.number("error_part", t.error_part, 0, 1);
+    troubles.number("pause_part", t.pause_part, 0, 1);
+    troubles.flag("drains", t.drains);
+    troubles.flag("planners_fail", t.planners_fail);
+    troubles.flag("planners_dead", t.planners_dead);
+    troubles.flag("planners_split", t.planners_split);
+    troubles.flag("lossy", t.lossy);
+    troubles.flag("restarts", t.restarts);
+    troubles.count("liars", t.liars, 0, 15);
+    troubles.done();
+    for (Section& fault : root.sections("fault", kMostFaults)) {
+        sim::Fault f;
+        fault.need("kind"), fault.text("kind", f.kind);
+        if (!sim::Registry::all().faults.count(f.kind)) fault.wrong("kind", "is no fault that there is");
+        fault.text("target", f.target);
+        fault.number("at_ms", f.at, 0, 3.6e6);
+        fault.number("length_ms", f.length, 0, 3.6e6);
+        fault.number("amount", f.amount, -1e9, 1e9);
+        fault.done();
+        e.day.faults.push_back(f);
+    }
+
+    Section vary = root.section("vary");
+    for (const std::string& key : vary.keys()) {
+        const Known* one = known(key);
+        if (!one) continue;
+        Experiment::Vary v{key, {}};
+        vary.numbers(key.c_str(), v.values, 100);
+        for (const double value : v.values)
+            if (value < one->least || value > one->most)
+                vary.wrong(key.c_str(), "has a value out of its range");
+        e.vary.push_back(v);
+    }
+    vary.done();
+    std::size_t variants = 1;
+    for (const auto& v : e.vary) variants *= v.values.size();
+    if (variants > kMostVariants) root.wrong("vary", "makes more than 1000 variants");
+    root.text("pair", e.pair);
+    if (!e.pair.empty() &&
+        std::none_of(e.vary.begin(), e.vary.end(), [&](const auto& v) { return v.name == e.pair; }))
+        root.wrong("pair", "is not varied");
+
+    Section seeds = root.section("seeds");
+    seeds.count("first", e.first_seed, 0, 1e15);
+    seeds.count("count", e.seeds, 1, kMostSeeds);
+    seeds.count("quick", e.quick_seeds, 1, kMostSeeds);
+    seeds.done();
+
+    for (Section& bound : root.sections("bound", 100)) {
+        Experiment::Bound b;
+        bound.need("figure"), bound.text("figure", b.figure);
+        const auto& all = known_figures();
+        const bool paired = b.figure == "loss removed" && !e.pair.empty();
+        if (std::find(all.begin(), all.end(), b.figure) == all.end() && !paired)
+            bound.wrong("figure", "is a figure that no engine measures");
+        read_set(bound.section("where"), b.where);
+        for (const auto& [name, value] : b.where) {
+            const auto varied =
+                std::find_if(e.vary.begin(), e.vary.end(), [&](const auto& v) { return v.name == name; });
+            if (varied == e.vary.end() ||
+                std::find(varied->values.begin(), varied->values.end(), value) == varied->values.end())
+                bound.wrong("where", "is a variant that is never played");
+        }
+        double amount = 0;
+        if (bound.has("at_most")) bound.number("at_most", amount, -1e12, 1e12), b.at_most = amount;
+        if (bound.has("at_least")) bound.number("at_least", amount, -1e12, 1e12), b.at_least = amount;
+        if (!b.at_most && !b.at_least) bound.wrong("figure", "has neither at_most nor at_least");
+        bound.done();
+        e.bounds.push_back(b);
+    }
+    root.done();
+    return e;
+}
+
+std::vector<Experiment::Variant> Experiment::variants() const {
+    std::vector<Variant> all{{}};
+    for (const Vary& v : vary) {
+        std::vector<Variant> more;
+        for (const Variant& variant : all)
+            for (const double value : v.values) {
+                more.push_back(variant);
+                more.back()[v.name] = value;
+            }
+        all.swap(more);
+    }
+    return all;
+}
+
+sim::Case Experiment::day_of(const Variant& variant, std::uint64_t seed) const {
+    sim::Case made = day;
+    made.seed = seed;
+    for (const auto& [name, value] : variant) made.set[name] = value;
+    const auto fixed = made.faults;
+    made.faults.clear();
+    // Troubles of the servers are the same for all variants with as many; those of planners need some.
+    sim::draw_faults(made, troubles);
+    made.faults.insert(made.faults.end(), fixed.begin(), fixed.end());
+    return made;
+}
+
+const std::vector<std::string>& known_figures() {
+    static const std::vector<std::string> all = {
+        "asked",         "in time",     "late",          "refused",    "failed",   "lost in restarts",
+        "attempts",      "runs",        "cold peak",     "grant peak", "removals", "removal s",
+        "never removed", "plans taken", "plans refused", "broken",     "events",   "loss",
+        "in time share"};
+    return all;
+}
+
+std::map<std::string, double> figures_of(const sim::Case& day) {
+    const sim::Played played = sim::play(day);
+    std::map<std::string, double> figures;
+    for (const std::string& name : known_figures()) figures[name] = 0;
+    for (const auto& [name, value] : played.figures)
+        if (figures.count(name)) figures[name] = value;
+    const double asked = figures["asked"];
+    figures["in time share"] = asked > 0 ? figures["in time"] / asked : 1;
+    figures["loss"] = 1 - figures["in time share"];
+    const auto ms = played.figures.find("removal ms");
+    if (ms != played.figures.end() && figures["removals"] > 0)
+        figures["removal s"] = ms->second / figures["removals"] / 1000;
+    figures["broken"] = static_cast<double>(played.broken);
+    figures["events"] = static_cast<double>(played.events);
+    return figures;
+}
+
+}  // namespace cobaltshift::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,10 +1,13 @@
 // cobaltshift-lab: measurements and small fleets on loopback addresses. Exit codes: 0 all bounds hold, 1 one
 // falls short, 2 bad usage.
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <fstream>
 #include <iostream>
 
 #include "lab/demo.hpp"
+#include "lab/experiment.hpp"
 #include "lab/scenario.hpp"
 #include "lab/sim_world.hpp"
 
@@ -48,6 +51,13 @@
     replayed->add_flag("--all", again.all, "prints all that happens");
     replayed->add_flag("--shrink", again.shorten, "looks for a smaller case that breaks the same rule");
     replayed->add_option("--write", again.write, "writes the smaller case to this file");
+    RunExperiment experiment;
+    CLI::App* ran = app.add_subcommand("run", "plays an experiment file in virtual time");
+    ran->add_option("FILE", experiment.file)->required();
+    ran->add_flag("--quick", experiment.quick, "on its few seeds");
+    ran->add_option("--results", experiment.results, "JSON lines, appended to; goes on where they stop");
+    ran->add_option("--jobs", experiment.jobs, "days at a time; else as many as cores")
+        ->check(CLI::Range(1, 256));
     for (const Scenario& scenario : scenarios()) options(app.add_subcommand(scenario.name, scenario.about));
     try {
         app.parse(argc, argv);
@@ -64,6 +74,10 @@
             return 0;
         }
         if (show->parsed()) return measured(demo(run), json);
+        if (ran->parsed()) {
+            experiment.progress = ::isatty(STDERR_FILENO) != 0;
+            return run_experiment(experiment, std::cout, std::cerr);
+        }
         if (replayed->parsed()) return replay(again);
         if (serve->parsed()) return up(servers, forwarders, run.seed);
         for (const Scenario& scenario : scenarios())
--- a/src/lab/planners_gain.cpp
+++ b/src/lab/planners_gain.cpp
@@ -9,6 +9,7 @@
 #include "lab/fleet.hpp"
 #include "lab/planner_children.hpp"
 #include "lab/planners.hpp"
+#include "lab/statistics.hpp"
 
 namespace cobaltshift::lab {
 
@@ -213,6 +214,7 @@
     result.columns({"run", "way", "asked", "lost", "in time %", "attempts", "p50 ms", "p99 ms", "removed"});
     std::array<Tally, 2> all;
     std::vector<double> gains;
+    std::vector<Pair> pairs;
     int worst_exit = 0;
     bool finished = true;
     for (std::size_t r = 0; r < runs; ++r) {
@@ -220,6 +222,7 @@
         play(run.seed * 100 + r, length, two, worst_exit, finished);
         const double gain = 1 - two[1].loss() / std::max(1e-9, two[0].loss());
         gains.push_back(gain);
+        pairs.push_back({two[0].loss(), two[1].loss()});
         for (const std::size_t w : {0, 1}) {
             const Tally& t = two[w];
             result.row({std::to_string(r + 1), names[w], std::to_string(t.asked), std::to_string(t.lost),
@@ -264,6 +267,11 @@
     result.figure("greatest part of the loss removed in one run", *most);
     result.note("part of the loss removed: from " + shown(100 * *least, 1) + " % to " +
                 shown(100 * *most, 1) + " % in " + std::to_string(runs) + " runs");
+    const Interval sure = part_removed(pairs, run.seed);
+    if (sure.known) {
+        result.note("95 % interval: " + shown(100 * sure.low, 1) + " to " + shown(100 * sure.high, 1));
+        result.at_least("part of the loss removed, lower end of its interval", sure.low, 0);
+    }
     if (run.quick)
         result.figure("part of the loss removed", pooled);
     else
--- a/src/lab/sim_world.cpp
+++ b/src/lab/sim_world.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <thread>
 
+#include "lab/statistics.hpp"
 #include "sim/days.hpp"
 #include "sim/scene.hpp"
 #include "sim/shrink.hpp"
@@ -90,6 +91,7 @@
     result.columns(
         {"planners", "asked", "in time %", "late", "refused", "failed", "left alone by all, s", "never %"});
     std::vector<double> loss(2), removed;
+    std::vector<Pair> pairs;
     for (std::size_t way = 0; way < 2; ++way) {
         double asked = 0, good = 0, late = 0, refused = 0, failed = 0, ms = 0, cases = 0, never = 0;
         for (std::size_t i = 0; i < seeds; ++i) {
@@ -100,6 +102,7 @@
             if (way == 0) continue;
             const sim::Played& w = played[i];
             const double lost = of(p, "asked") - of(p, "in time"), base = of(w, "asked") - of(w, "in time");
+            pairs.push_back({base, lost});
             removed.push_back(1 - lost / std::max(1.0, base));
         }
         loss[way] = 1 - good / asked;
@@ -111,6 +114,11 @@
     result.note("part of the loss removed, by day: least " + shown(100 * removed.front(), 1) + " %, median " +
                 shown(100 * removed[removed.size() / 2], 1) + " %, most " + shown(100 * removed.back(), 1) +
                 " %");
+    const Interval sure = part_removed(pairs, run.seed);
+    result.note("95 % interval of the part removed: " + shown(100 * sure.low, 1) + " to " +
+                shown(100 * sure.high, 1));
+    result.figure("loss removed, lower end", sure.low);
+    result.figure("loss removed, upper end", sure.high);
     result.at_least("loss removed by planners", 1 - loss[1] / loss[0], 0.3);
     return result;
 }
--- /dev/null
+++ b/src/settings_file/section.hpp
@@ -0,0 +1,176 @@
+// One table of a TOML file, read key by key: typed, and every complaint names file, line and key. For our own
+// settings and for experiments.
+#pragma once
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <charconv>
+#include <cmath>
+#include <cstdint>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "settings_file/error.hpp"
+
+namespace cobaltshift {
+
+using boost::asio::ip::tcp;
+
+// One table of the file. Each key asked for is known from then on; done() complains of the others.
+class Section {
+public:
+    Section(const toml::table& table, std::string name, const std::string& file)
+        : table_(table), name_(std::move(name)), file_(file) {}
+
+    // Leaves `value` as it is where the key is missing.
+    void number(const char* key, double& value, double least, double most) {
+        const toml::node* node = find(key);
+        if (!node) return;
+        const auto given = node->value<double>();
+        if (!given || node->is_boolean()) fail(*node, key, "is not a number");
+        if (!std::isfinite(*given) || *given < least || *given > most)
+            fail(*node, key, "is not between " + shown(least) + " and " + shown(most));
+        value = *given;
+    }
+    template <class Count>
+    void count(const char* key, Count& value, double least, double most) {
+        const toml::node* node = find(key);
+        if (!node) return;
+        const auto given = node->value_exact<std::int64_t>();
+        if (!given) fail(*node, key, "is not a whole number");
+        if (static_cast<double>(*given) < least || static_cast<double>(*given) > most)
+            fail(*node, key, "is not between " + shown(least) + " and " + shown(most));
+        value = static_cast<Count>(*given);
+    }
+    void text(const char* key, std::string& value) {
+        if (const toml::node* node = find(key)) value = text_of(*node, key);
+    }
+    void endpoint(const char* key, tcp::endpoint& value) {
+        if (const toml::node* node = find(key)) value = endpoint_of(*node, key);
+    }
+    void endpoints(const char* key, std::vector<tcp::endpoint>& values, std::size_t most) {
+        const toml::node* node = find(key);
+        if (!node) return;
+        if (!node->is_array()) fail(*node, key, "is not a list");
+        for (const toml::node& one : *node->as_array()) values.push_back(endpoint_of(one, key));
+        if (values.size() > most) fail(*node, key, "has more than " + std::to_string(most) + " entries");
+        for (std::size_t i = 0; i < values.size(); ++i)
+            if (std::find(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(i), values[i]) !=
+                values.begin() + static_cast<std::ptrdiff_t>(i))
+                fail(*node, key, "names an address twice");
+    }
+    void flag(const char* key, bool& value) {
+        const toml::node* node = find(key);
+        if (!node) return;
+        if (!node->is_boolean()) fail(*node, key, "is neither true nor false");
+        value = *node->value<bool>();
+    }
+    void numbers(const char* key, std::vector<double>& values, std::size_t most) {
+        const toml::node* node = find(key);
+        if (!node) return;
+        if (!node->is_array()) fail(*node, key, "is not a list");
+        for (const toml::node& one : *node->as_array()) {
+            const auto given = one.value<double>();
+            if (!given || one.is_boolean() || !std::isfinite(*given))
+                fail(one, key, "has what is not a number");
+            values.push_back(*given);
+        }
+        if (values.empty() || values.size() > most)
+            fail(*node, key, "has not 1 to " + std::to_string(most) + " entries");
+    }
+    // [[key]], each a table of its own.
+    std::vector<Section> sections(const char* key, std::size_t most) {
+        std::vector<Section> all;
+        const toml::node* node = find(key);
+        if (!node) return all;
+        if (!node->is_array_of_tables()) fail(*node, key, "is not a list of tables");
+        for (const toml::node& one : *node->as_array()) all.emplace_back(*one.as_table(), key, file_);
+        if (all.size() > most) fail(*node, key, "has more than " + std::to_string(most) + " entries");
+        return all;
+    }
+    // Every key there is, for tables whose keys are the user's.
+    std::vector<std::string> keys() const {
+        std::vector<std::string> all;
+        for (const auto& [key, node] : table_) all.emplace_back(key.str());
+        return all;
+    }
+    [[noreturn]] void wrong(const char* key, const std::string& what) {
+        const toml::node* node = find(key);
+        if (!node) throw SettingsError(file_ + ": " + name_ + "." + key + " " + what);
+        fail(*node, key, what);
+    }
+    bool has(const char* key) { return find(key) != nullptr; }
+    void need(const char* key) {
+        if (!find(key)) throw SettingsError(file_ + ": " + name_ + "." + key + " is missing");
+    }
+    Section section(const char* key) {
+        static const toml::table none;
+        const toml::node* node = find(key);
+        if (!node) return {none, key, file_};
+        if (!node->is_table()) fail(*node, key, "is not a table");
+        return {*node->as_table(), key, file_};
+    }
+    void done() const {
+        for (const auto& [key, node] : table_)
+            if (!known_.count(std::string(key.str()))) fail(node, std::string(key.str()), "is not known");
+    }
+
+private:
+    const toml::node* find(const char* key) {
+        known_.insert(key);
+        return table_.get(key);
+    }
+    std::string text_of(const toml::node& node, const char* key) const {
+        const auto given = node.value<std::string>();
+        if (!given) fail(node, key, "is not a text");
+        return *given;
+    }
+    // ADDRESS:PORT in numbers: names are not looked up.
+    tcp::endpoint endpoint_of(const toml::node& node, const char* key) const {
+        const std::string given = text_of(node, key);
+        const auto colon = given.rfind(':');
+        std::string host = given.substr(0, colon);
+        if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+            host = host.substr(1, host.size() - 2);
+        unsigned port = 70000;
+        if (colon != std::string::npos) {
+            const char *from = given.data() + colon + 1, *to = given.data() + given.size();
+            if (const auto parsed = std::from_chars(from, to, port); from == to || parsed.ptr != to)
+                port = 70000;
+        }
+        boost::system::error_code ec;
+        const auto address = boost::asio::ip::make_address(host, ec);
+        if (ec || port > 65535) fail(node, key, "is not address:port");
+        return {address, static_cast<unsigned short>(port)};
+    }
+    static std::string shown(double value) {
+        std::ostringstream text;
+        text << value;
+        return text.str();
+    }
+    [[noreturn]] void fail(const toml::node& node, const std::string& key, const std::string& what) const {
+        throw SettingsError(file_ + ":" + std::to_string(node.source().begin.line) + ": " +
+                            (name_.empty() ? "" : name_ + ".") + key + " " + what);
+    }
+
+    const toml::table& table_;
+    std::string name_;
+    const std::string& file_;
+    std::set<std::string> known_;
+};
+
+// The whole file; throws SettingsError if it is no TOML.
+inline toml::table parsed_toml(const std::string& text, const std::string& file) {
+    try {
+        return toml::parse(text, file);
+    } catch (const toml::parse_error& error) {
+        throw SettingsError(file + ":" + std::to_string(error.source().begin.line) + ": " +
+                            std::string(error.description()));
+    }
+}
+
+}  // namespace cobaltshift
--- a/src/settings_file/settings_file.hpp
+++ b/src/settings_file/settings_file.hpp
@@ -2,18 +2,14 @@
 // names file, line and key. Without a file all is as the defaults here say, and all optional parts are off.
 #pragma once
 
-#include <stdexcept>
 #include <string>
 
 #include "net/shares.hpp"
 #include "plan_io/settings.hpp"
+#include "settings_file/error.hpp"
 
 namespace cobaltshift {
 
-struct SettingsError : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
-
 struct ProgramSettings {
     Shares shares;
     plan::ClientSettings plan;
--- a/src/sim/checkers/attempts.cpp
+++ b/src/sim/checkers/attempts.cpp
@@ -10,11 +10,11 @@
 
 class Attempts : public Part {
 public:
-    explicit Attempts(Scene& scene) : scene_(scene) {
+    explicit Attempts(Scene& scene) : scene_(scene), all_(scene.figure("attempts")) {
         scene.bus.on<Sent>(kName, [this](const Sent& s) {
             if (known_.size() <= s.request) known_.resize(s.request + 1);
             State& one = known_[s.request];
-            scene_.figure("attempts") += 1;
+            all_ += 1;
             if (++one.made > 4)
                 scene_.broken(kName, name_of(s.request) + " has more than four attempts", name_of(s.request));
             if (++one.out > 1)
@@ -30,6 +30,7 @@
         int made = 0, out = 0;
     };
     Scene& scene_;
+    double& all_;
     std::vector<State> known_;
 };
 
--- a/src/sim/checkers/effects.cpp
+++ b/src/sim/checkers/effects.cpp
@@ -13,12 +13,12 @@
 
 class Effects : public Part {
 public:
-    explicit Effects(Scene& scene) : scene_(scene) {
+    explicit Effects(Scene& scene) : scene_(scene), runs_(scene.figure("runs")) {
         scene.bus.on<Asked>(kName, [this](const Asked& a) {
             if (a.kind != Kind::safe) effects_[a.request] = {a.kind, 0, 0};
         });
         scene.bus.on<Ran>(kName, [this](const Ran& r) {
-            scene_.figure("runs") += 1;
+            runs_ += 1;
             const auto at = effects_.find(r.request);
             if (at == effects_.end()) return;
             Effect& effect = at->second;
@@ -46,6 +46,7 @@
         int runs;
     };
     Scene& scene_;
+    double& runs_;
     std::unordered_map<RequestNo, Effect> effects_;
 };
 
--- a/src/sim/checkers/plan.cpp
+++ b/src/sim/checkers/plan.cpp
@@ -24,7 +24,7 @@
         : scene_(scene), servers_(scene.day), planners_(scene.day.count("planners", 3)) {
         scene.bus.on<ForwarderUp>(kName, [this](const ForwarderUp& f) {
             for (Node p = 0; p < planners_; ++p) {
-                links_[{f.forwarder, p}] = {};
+                link(f.forwarder, p) = {};
                 lagging_.erase({f.forwarder, p});
             }
         });
@@ -35,12 +35,11 @@
             current_[c.planner] = {c.id, scene_.kernel.now()};
         });
         scene.bus.on<PlanAsked>(kName, [this](const PlanAsked& a) {
-            Link& link = links_[{a.forwarder, a.planner}];
-            link.asked_at = scene_.kernel.now(), link.out = true, link.left_at = -1;
-        });
-        scene.bus.on<PlanLeft>(kName, [this](const PlanLeft& l) {
-            links_[{l.forwarder, l.planner}].left_at = scene_.kernel.now();
+            Link& one = link(a.forwarder, a.planner);
+            one.asked_at = scene_.kernel.now(), one.out = true, one.left_at = -1;
         });
+        scene.bus.on<PlanLeft>(
+            kName, [this](const PlanLeft& l) { link(l.forwarder, l.planner).left_at = scene_.kernel.now(); });
         scene.bus.on<PlanCame>(kName, [this](const PlanCame& c) { came(c); });
     }
     void start() override {
@@ -71,17 +70,22 @@
         plan::PlanId id;
         Millis at = -1;
     };
+    Link& link(Node forwarder, Node planner) {
+        const std::size_t at = forwarder * std::max<std::size_t>(1, planners_) + planner;
+        if (links_.size() <= at) links_.resize(at + 1);
+        return links_[at];
+    }
     static std::string name(Node forwarder) { return "forwarder " + std::to_string(forwarder); }
 
     void came(const PlanCame& c) {
-        Link& link = links_[{c.forwarder, c.planner}];
-        if (c.seen < link.highest)
+        Link& one = link(c.forwarder, c.planner);
+        if (c.seen < one.highest)
             scene_.broken(kName, name(c.forwarder) + " went back to an older plan", name(c.forwarder));
-        link.highest = std::max(link.highest, c.seen);
+        one.highest = std::max(one.highest, c.seen);
         if (!c.newest) return;
-        link.out = false;
+        one.out = false;
         const auto due = lagging_.find({c.forwarder, c.planner});
-        if (due == lagging_.end() || link.left_at <= due->second.at) return;
+        if (due == lagging_.end() || one.left_at <= due->second.at) return;
         if (c.seen < due->second.id) lags(c.forwarder, c.planner);
         lagging_.erase(due);
     }
@@ -93,8 +97,8 @@
             for (const Forwarder* forwarder : scene_.all<Forwarder>()) {
                 const bool good = forwarder->follower().holds(p, scene_.kernel.now()) &&
                                   forwarder->follower().seen()[p] == core->id();
-                const Link& link = links_[{f, p}];
-                if (!good && link.out && link.asked_at <= current_[p].at)
+                const Link& one = link(f, p);
+                if (!good && one.out && one.asked_at <= current_[p].at)
                     lagging_[{f, p}] = {core->id(), current_[p].at};
                 else if (!good)
                     lags(f, p);
@@ -154,7 +158,7 @@
     Scene& scene_;
     const ArchiveSettings servers_;
     const std::size_t planners_;
-    std::map<Pair, Link> links_;
+    std::vector<Link> links_;  // by forwarder and planner
     std::map<Node, Change> current_;
     std::map<Pair, Change> lagging_;
     Millis alive_at_ = 0;
--- a/src/sim/models/forwarder.cpp
+++ b/src/sim/models/forwarder.cpp
@@ -20,7 +20,10 @@
       number_(number),
       planners_(scene.day.count("planners", 3)),
       endpoint_(scene.network.endpoint("forwarder-" + std::to_string(number))),
-      lots_(scene.kernel.stream("forwarder/" + std::to_string(number))) {}
+      name_("f" + std::to_string(number)),
+      lots_(scene.kernel.stream("forwarder/" + std::to_string(number))),
+      taken_(scene.figure("plans taken")),
+      refused_(scene.figure("plans refused")) {}
 
 kelplb::Settings Forwarder::settings() const {
     const ArchiveSettings servers(scene_.day);
@@ -55,7 +58,7 @@
     left_alone_.clear();
     guided_ = false, guide_at_ = 0;
     balancer_ = std::make_unique<kelplb::Balancer>(settings(), scene_.day.seed * 1000 + number_ * 10 + life_);
-    meter_ = std::make_unique<plan::Meter>("f" + std::to_string(number_), life_, 3, planners_);
+    meter_ = std::make_unique<plan::Meter>(name_, life_, 3, planners_);
     follower_ = std::make_unique<plan::Follower>(planners_);
     give(kelplb::Started{});
     told(scene_.all<Discovery>().at(0)->list(), true);
@@ -124,11 +127,10 @@
     open.out.push_back(true);
     scene_.bus.tell(Sent{open.request, number_, a.server, attempt});
     meter_->sent(a.server);
-    for (Archive* server : scene_.all<Archive>()) {
-        if (server->id() != a.server) continue;
-        const Archive::Job job{this, life_, a.id, attempt, open.request, open.work, endpoint_};
-        scene_.network.pass(endpoint_, server->endpoint(), [server, job] { server->receive(job); });
-    }
+    // Whom the module was told of: servers are numbered from 1 in the order of their making.
+    Archive* server = scene_.all<Archive>().at(a.server - 1);
+    const Archive::Job job{this, life_, a.id, attempt, open.request, open.work, endpoint_};
+    scene_.network.pass(endpoint_, server->endpoint(), [server, job] { server->receive(job); });
     scene_.kernel.at(a.try_until, [this, id = a.id, attempt, life = life_] {
         ended(life, id, attempt, Outcome::overdue);
     });
@@ -229,7 +231,7 @@
     PlannerDesk* to = scene_.all<PlannerDesk>().at(planner);
     scene_.network.send(endpoint_, to->endpoint(), "?",
                         [this, to, planner, question, has, asked_at, life = life_](const std::string&) {
-                            to->asked(number_, "f" + std::to_string(number_), question, has,
+                            to->asked(number_, name_, endpoint_, question, has,
                                       [this, planner, question, asked_at, life](const std::string& bytes) {
                                           if (life_ == life) came(planner, question, asked_at, bytes);
                                       });
@@ -249,7 +251,7 @@
         taken = how == plan::Follower::Taken::taken || how == plan::Follower::Taken::renewed;
         guide();
     }
-    scene_.figure(taken ? "plans taken" : "plans refused") += 1;
+    (taken ? taken_ : refused_) += 1;
     scene_.bus.tell(PlanCame{number_, planner, question, newest, taken, follower_->seen()[planner]});
     if (!newest) return;
     if (taken) return ask(planner);
--- a/src/sim/models/forwarder.hpp
+++ b/src/sim/models/forwarder.hpp
@@ -70,7 +70,9 @@
     const Node number_;
     const std::size_t planners_;
     const Network::Endpoint endpoint_;
+    const std::string name_;  // to planners
     Stream lots_;
+    double &taken_, &refused_;  // figures
     std::uint64_t life_ = 0, questions_ = 0;
     std::unique_ptr<kelplb::Balancer> balancer_;
     std::unique_ptr<plan::Meter> meter_;
--- a/src/sim/models/planner.cpp
+++ b/src/sim/models/planner.cpp
@@ -101,10 +101,10 @@
     return taken;
 }
 
-void PlannerDesk::asked(Node forwarder, const std::string& name, std::uint64_t question, plan::PlanId has,
-                        Answer told) {
+void PlannerDesk::asked(Node forwarder, const std::string& name, Network::Endpoint from,
+                        std::uint64_t question, plan::PlanId has, Answer told) {
     if (!core_) return;
-    const Pending one{forwarder, name, question, has, std::move(told)};
+    const Pending one{forwarder, name, from, question, has, std::move(told)};
     if (has != core_->id()) return answer(one);
     pending_.push_back(one);
     scene_.kernel.after(kWait, [this, question, forwarder, life = life_] {
@@ -123,8 +123,7 @@
     plan::Plan said = core_->plan(clock(), one.name, one.has);
     if (lying_) lie(said);
     scene_.bus.tell(PlanLeft{one.forwarder, number_, one.question, said.id});
-    const auto to = scene_.network.endpoint("forwarder-" + std::to_string(one.forwarder));
-    scene_.network.send(endpoint_, to, encode(said), one.answer);
+    scene_.network.send(endpoint_, one.from, encode(said), one.answer);
 }
 
 // Well-formed nonsense, and what passes for sense but is a lie.
--- a/src/sim/models/planner.hpp
+++ b/src/sim/models/planner.hpp
@@ -25,8 +25,8 @@
     // None: it is dead, or could not read it.
     std::optional<plan::Planner::Taken> report(const std::string& bytes);
     using Answer = std::function<void(const std::string&)>;
-    void asked(Node forwarder, const std::string& name, std::uint64_t question, plan::PlanId has,
-               Answer answer);
+    void asked(Node forwarder, const std::string& name, Network::Endpoint from, std::uint64_t question,
+               plan::PlanId has, Answer answer);
 
     // Faults.
     void stop();
@@ -39,6 +39,7 @@
     struct Pending {
         Node forwarder;
         std::string name;
+        Network::Endpoint from;
         std::uint64_t question;
         plan::PlanId has;
         Answer answer;
--- a/src/sim/network.hpp
+++ b/src/sim/network.hpp
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "sim/kernel.hpp"
@@ -55,7 +56,7 @@
         std::uint64_t number;
         Match match;
         Link link;
-        std::map<std::uint64_t, bool> known;  // by link: the answers of `match`
+        std::unordered_map<std::uint64_t, bool> known;  // by link: the answers of `match`
     };
     static std::uint64_t key(Endpoint from, Endpoint to) {
         return static_cast<std::uint64_t>(from) << 32 | to;
@@ -70,7 +71,8 @@
     std::vector<std::string> names_;
     std::list<Rule> rules_;  // the newest first
     std::uint64_t next_rule_ = 1;
-    std::map<std::uint64_t, Millis> last_, busy_;  // by link: of passing in order, and of its bandwidth
+    std::unordered_map<std::uint64_t, Millis> last_,
+        busy_;  // by link: of passing in order, and of its bandwidth
     Counts counts_;
 };
 
