Keep a timer set anew from asking a planner twice at once

Need: news sets the report's timer anew; one that had expired already, its handler queued, still comes and would have asked on the same connection beside the new one.

Change: each setting has a turn, and only the newest acts. The plan's socket tests pass.

--- a/src/plan_io/client.cpp
+++ b/src/plan_io/client.cpp
@@ -46,8 +46,9 @@
     void later(Millis delay) {
         resting_ = backoff_ == 0;
         timer_.expires_after(std::chrono::microseconds(static_cast<long>(std::max(0.0, delay) * 1000)));
-        timer_.async_wait([self = shared_from_this()](error_code ec) {
-            if (!ec && self->owner_) self->next();
+        // One that had expired already when it was set anew still comes, and must not ask beside this one.
+        timer_.async_wait([self = shared_from_this(), turn = ++turn_](error_code ec) {
+            if (!ec && self->owner_ && self->turn_ == turn) self->next();
         });
     }
     // A connection's descriptor is freed with it.
@@ -190,8 +191,9 @@
     bool asks_session_ = false;
     std::uint64_t sequence_ = 0;
     Millis asked_at_ = 0, backoff_ = 0;
-    Pace pace_;             // of reports
-    bool resting_ = false;  // until the time that pace_ says
+    Pace pace_;               // of reports
+    std::uint64_t turn_ = 0;  // of the timer
+    bool resting_ = false;    // until the time that pace_ says
 };
 
 Client::Client(asio::io_context& io, const Clock& clock, std::string name, std::uint64_t seed,
