Admit by server, tenants' shares and others' queues; stop at the aim where late is no use

Causes, in src/balance.cpp: room bounds the sidecar's attempts as a whole and knows neither a machine's speed nor what others sent it (the deployment's racks differ by four, the first one's machines do not); dispatch() let every attempt run to the client's deadline; tenants were not read at all.

Change: a server is offered a request only while the answer is expected within a share of the aim, from how long its answers took and how many were there (fits); the two drawn are among those not much slower than the second best (keep_promising); sidecars tell one another what they have out and what comes to them by tenant (fleet_view), so often that it costs 0.2 points in 100 at the most; requests beyond their tenant's quota leave room for those within (shares). An attempt ends at the aim where a late answer is worth nothing and the client does not ask again. Nothing goes by an operator's or a site's name: all follows from settings.

The guidance no longer places what is held: that could act before the timer did.

--- a/include/kelplb/balancer.hpp
+++ b/include/kelplb/balancer.hpp
@@ -35,12 +35,19 @@
     Millis dedup_window = 0;  // repeats are dropped this long after the first attempt that may have run
     Millis aim = 1000;        // an answer within this earns full worth
     double aim_stretch = 0;   // the aim grows by this multiple of the request's own effort
+    double late_worth = 0;    // of an answer past the aim, against one in time
     double worth = 1;         // of one request, against other classes
 };
 
 // Prices in shares of the whole result, as operators state them; 0 leaves a matter out of account.
 struct Fees {
     double cross_zone = 0;  // for each attempt that leaves the zone
+    double peer = 0;        // for a message of 256 bytes to one peer, a request
+};
+
+// Whose requests they are, and what all sidecars together owe it.
+struct Tenant {
+    double quota_per_s = 0;  // requests; what goes beyond is worth over_share_worth of the usual. 0: no quota
 };
 
 struct Settings {
@@ -58,6 +65,8 @@
     Millis warm_within = 0;          // and all of it after this
     double fall_multiple = 2;  // sent more than this multiple of what it can do, a cold server falls over
     Fees fees;
+    std::vector<Tenant> tenants;  // may be empty
+    double over_share_worth = 1;  // 0 to 1
 };
 
 // ---- Events ---------------------------------------------------------------------------------------------
@@ -99,6 +108,7 @@
     Millis time_left = 0;           // until the client abandons this try
     Millis effort = 0;              // expected work, 0 if not known
     bool repeat = false;            // known to be the client's retry
+    std::uint32_t tenant = ~0u;     // into Settings::tenants; out of range: nobody's, without a quota
 };
 struct FirstByte {  // a streamed answer has begun; the attempt belongs to the client from here on
     RequestId id = 0;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -12,9 +12,11 @@
 #include <map>
 #include <unordered_map>
 
+#include "fleet_view.hpp"
 #include "kelplb/balancer.hpp"
 #include "random.hpp"
 #include "settings.hpp"
+#include "shares.hpp"
 
 namespace kelplb {
 
@@ -33,7 +35,7 @@
 constexpr double kRetryShare = 0.2, kRetryBurst = 10;
 // Admission: attempts out are kept to what brings the mean answer in at this share of its aim: more makes the
 // slower answers late, less leaves servers idle. It starts without a bound worth the name.
-constexpr double kAimShare = 0.55, kRoomAtStart = 1000, kRoomGain = 0.5;
+constexpr double kAimShare = 0.55, kCutAimShare = 0.8, kRoomAtStart = 1000, kRoomGain = 0.5;
 constexpr double kFeed = 0.5;          // of the multiple that fells a cold server; the rest is for chance
 constexpr double kGuidedFeed = 0.375;  // and for what planners grant: so much more at the most
 constexpr double kCrowded = 0.35;      // answers take this share of the aim: well above an idle pool
@@ -43,6 +45,13 @@
 // The part of the room that is there for every class, however little its worth, and all that repeats get: a
 // repeat's aim has been running since its first try.
 constexpr double kCommonRoom = 0.6;
+// A server is offered a request only while, by how long its answers took with how many there, the answer is
+// expected within this share of the aim; what is beyond its tenant's share leaves room for what is not.
+constexpr double kFit = 0.7, kFitOver = 0.25;
+constexpr double kPromising = 1.3, kLeastTook = 0.02;
+constexpr double kMostTook = 4;  // aims: a longer answer tells no more than that
+constexpr Millis kTellEvery = 50, kLastMoment = 10, kTookMemory = 10000;
+constexpr double kTellFee = 0.002;                     // of the result, for telling the others what is out
 constexpr double kLeastShare = 0.25, kMostRate = 1e6;  // of guidance: less or more is not followed
 constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
 
@@ -63,7 +72,10 @@
     std::uint32_t window = 0;  // a bit for each of the last outcomes, set for success
     int filled = 0;            // of them
     Millis backoff_until = 0;
-    double pace = 0;       // its answers' time against their aim, of late
+    double pace = 0;  // its answers' time against their aim, of late
+    double took = 0;  // the same, not capped, as of took_at
+    Millis took_at = 0;
+    double crowd = 0;      // attempts of all sidecars at it when those were sent, themselves included
     double suspicion = 0;  // decayed count of failed and late attempts, ours and those we were told of
     Millis suspected_at = 0;
     std::vector<RequestId> askers;  // requests that await a probe of it
@@ -79,6 +91,7 @@
     bool out = true;
     bool may_have_run = true;
     bool trial = false;
+    double crowd = 0;  // at the server when it was sent, itself included
 };
 
 struct Request {
@@ -87,7 +100,9 @@
     // The client's. Not the aim: giving up there makes clients repeat what a server is still working on,
     // while a late answer, worth as little, keeps them quiet.
     Millis deadline = 0;
+    Millis give_up = 0;  // an attempt ends then: the deadline, or the aim where a late answer is no use
     bool repeat = false;
+    bool within = true;  // its tenant's share
     bool ended = false;
     bool streaming = false;
     bool waiting = false;     // has its hold timer
@@ -112,7 +127,8 @@
 }  // namespace
 
 struct Balancer::Impl {
-    Impl(Settings s, std::uint64_t seed) : settings(std::move(s)), random(seed) {
+    Impl(Settings s, std::uint64_t seed)
+        : settings(std::move(s)), random(seed), shares(settings.tenants, settings.siblings) {
         validate(settings);
         for (const RequestClass& c : settings.classes) top_worth = std::max(top_worth, c.worth);
         if (top_worth == 0) top_worth = 1;
@@ -140,6 +156,9 @@
     double room = kRoomAtStart;   // attempts that may be outstanding
     std::vector<RequestId> held;  // may name finished ones
     Millis guided_until = 0;
+    Shares shares;
+    FleetView fleet;
+    Millis tell_at = 0;
     std::vector<RequestId> done;  // ended during this event
 
     void act(Action action) { actions->push_back(std::move(action)); }
@@ -217,7 +236,6 @@
             if (!std::isfinite(one.elsewhere)) s.advice.elsewhere = 0;
             if (!(one.cold_rate > 0 && one.cold_rate < kMostRate)) s.advice.cold_rate = 0;
         }
-        release_held();
     }
 
     // Kept out on the fleet's word: never so many that, with those we removed ourselves, over half would be
@@ -342,9 +360,49 @@
     void restore(Server& s) {
         s.standing = Standing::live;
         s.window = 0, s.filled = 0;
+        s.took = 0;
         act(Log{"restored after a trial", s.info.id});
     }
 
+    // ---- Load: all sidecars' attempts at a server, as far as it is known --------------------------------
+
+    // Not by guidance: what it says must never leave a request without a server.
+    // Nor by the servers' own reports: half a second old, they send everybody to where nobody was
+    // (docs/measured/second-deployment.md).
+    double load(const Server& s) const { return s.outstanding + fleet.elsewhere(now, s.info.id); }
+    // The time of an answer against its aim grows with the number at the server. What is long ago is
+    // forgotten: a machine that was slow must be tried again.
+    double expected(const Server& s) const {
+        return s.took * std::exp((s.took_at - now) / kTookMemory) * (2 + load(s)) / (1 + s.crowd);
+    }
+    bool fits(const Server& s, const Request& r) const {
+        return s.took <= 0 || load(s) < 1 || expected(s) <= (r.within ? kFit : kFitOver);
+    }
+
+    // The two drawn are among those not much slower than the second best: a queue of our own tells nothing of
+    // a machine that is slow with one request, or full of others' requests.
+    void keep_promising(std::vector<Server*>& from) const {
+        if (from.size() < 3) return;
+        std::vector<double> times;
+        for (const Server* s : from) times.push_back(expected(*s));
+        std::nth_element(times.begin(), times.begin() + 1, times.end());
+        const double most = std::max(kLeastTook, times[1]) * kPromising;
+        std::erase_if(from, [&](const Server* s) { return expected(*s) > most; });
+    }
+
+    // So often that it costs no more than kTellFee of the result, whatever a message costs.
+    void tell_fleet() {
+        if (!settings.may_tell || settings.siblings < 2 || gap <= 0 || now < tell_at) return;
+        std::vector<FleetView::Out> out;
+        for (const auto& [id, s] : servers)
+            if (s.outstanding > 0) out.push_back({id, s.outstanding});
+        const auto bytes = FleetView::say(now, shares, std::move(out));
+        const double cost =
+            settings.fees.peer * static_cast<double>(bytes.size()) / 256 * (settings.siblings - 1);
+        tell_at = now + std::max(kTellEvery, cost / kTellFee * gap);
+        act(TellPeer{std::nullopt, bytes});
+    }
+
     // ---- Pick -------------------------------------------------------------------------------------------
 
     Server* pick(Request& r) {
@@ -358,12 +416,14 @@
                 continue;
             }
             if (due || (follow && s.advice.removed)) return &s;  // half-open: this request is its trial
+            if (!fits(s, r)) continue;
             (guided() && !s.advice.preferred ? spare : r.tried(id) ? again : live).push_back(&s);
         }
         if (live.empty()) live.swap(spare);
         if (live.empty()) live.swap(again);
         if (live.empty()) live.swap(advised);  // advice never leaves a request without a server
         if (live.empty()) return nullptr;
+        keep_promising(live);
         Server* first = draw(live, nullptr);
         // Where crossing zones costs and the pool is not crowded, one of the two is of our own zone. It wins
         // ties, and with one request more where our part of the fee exceeds the chance of a late answer: one
@@ -387,11 +447,11 @@
             for (Server* s : {first, second}) ++r.asked, s->askers.push_back(r.id), act(Probe{s->info.id});
             return nullptr;
         }
-        const bool other =
-            b.outstanding + grace < a.outstanding ||
-            (b.outstanding == a.outstanding && (doubt != 0       ? doubt > 0
-                                                : elsewhere != 0 ? elsewhere > 0
-                                                                 : !nearer && b.pace < a.pace));
+        const bool other = b.outstanding + grace < a.outstanding ||
+                           (b.outstanding == a.outstanding &&
+                            (doubt != 0       ? doubt > 0
+                             : elsewhere != 0 ? elsewhere > 0
+                                              : !nearer && expected(b) * kPromising < expected(a)));
         return other ? second : first;
     }
 
@@ -413,6 +473,7 @@
         }
     }
     void on(const PeerMessage& e) {
+        if (fleet.hear(now, e.from, e.bytes, shares)) return;
         ServerId id = 0;
         for (const std::uint8_t byte : e.bytes) id = id << 8 | byte;
         const auto at = servers.find(id);
@@ -467,13 +528,20 @@
 
     // Little's law: a bound on what is out bounds the time it takes. The bound follows how long answers take
     // against their aim; errors say nothing about crowding, and it only grows while it is used.
-    void adapt_room(Server& s, const Request& r, const AttemptEnded& e) {
+    void adapt_room(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
         double ratio = 1.5;
         if (e.outcome == Outcome::completed)
             ratio = std::min(1.5, e.duration / r.kind.aim);
         else if (e.outcome != Outcome::overdue && e.outcome != Outcome::saturated)
             return;
         smooth(s.pace, ratio);
+        const double took =
+            e.outcome == Outcome::saturated ? 1.5 : std::min(kMostTook, e.duration / r.kind.aim);
+        if (s.took <= 0) s.took = took, s.crowd = a.crowd;
+        // The longer ago the last, the more this one counts.
+        const double weight = std::max(2.0 / kWindow, 1 - std::exp((s.took_at - now) / kTookMemory));
+        s.took += (took - s.took) * weight, s.crowd += (a.crowd - s.crowd) * weight;
+        s.took_at = now;
         if (is_cold(s)) return;  // slow by nature: it says nothing of the pool
         // Smoothed: one slow answer must not close a light sidecar, which has few others to set against it.
         // But good news counts for more the longer none came: one that sheds most of its requests gets
@@ -483,7 +551,9 @@
         crowded_at = now;
         smooth(used, outstanding);
         used = std::max<double>(used, outstanding);
-        const double step = kRoomGain * (kAimShare - crowding);
+        // Where an attempt ends at its aim, what would come late keeps nobody waiting.
+        const bool cut = r.give_up < r.deadline && r.give_up - a.sent_at <= r.kind.aim;
+        const double step = kRoomGain * ((cut ? kCutAimShare : kAimShare) - crowding);
         if (step < 0)
             room = std::max(room_floor(), std::min(room, used + 1.0) + step);
         else if (outstanding + 1 > room / 2)
@@ -530,12 +600,20 @@
         }
         r.kind.aim += r.kind.aim_stretch * std::max(0.0, e.effort);
         r.deadline = now + std::max(0.0, e.time_left);
+        r.give_up = r.deadline;
+        // Past its aim it is worth nothing to the client, who does not ask again either: it only keeps others
+        // waiting. Where clients repeat what failed, giving up there would double the work instead.
+        const bool asks_again = r.kind.effect != Effect::by_key || r.kind.dedup_scope == DedupScope::all;
+        if (settings.may_cancel && r.kind.late_worth <= 0 && !asks_again)
+            r.give_up = std::min(r.deadline, now + r.kind.aim - kLastMoment);
+        r.within = shares.within(now, e.tenant);
         if (arrived_at >= 0) smooth(gap, now - arrived_at);
         arrived_at = now;
         retry_budget = std::min(retry_budget + kRetryShare, kRetryBurst);
         r.hold_until = std::min(r.deadline, now + r.kind.aim * kHold);
         set_timer(r.deadline, r.id);
         place(r);
+        tell_fleet();
     }
 
     void place(Request& r) {
@@ -562,8 +640,8 @@
         ++s.outstanding;
         ++outstanding;
         r.asked = 0, r.asks = 0;
-        r.attempts.push_back({s.info.id, s.info.zone, s.info.cell, now, true, true, trial});
-        act(Send{r.id, s.info.id, r.deadline});
+        r.attempts.push_back({s.info.id, s.info.zone, s.info.cell, now, true, true, trial, load(s)});
+        act(Send{r.id, s.info.id, r.give_up});
     }
 
     void on(const FirstByte& e) {
@@ -573,7 +651,7 @@
 
     void book(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
         --s.outstanding;
-        adapt_room(s, r, e);
+        adapt_room(s, r, a, e);
         smooth(served, e.outcome == Outcome::completed ? 1.0 : 0.0);
         const bool good = e.outcome == Outcome::completed && e.duration <= r.kind.aim;
         smooth(timely, good ? 1.0 : 0.0);
@@ -601,11 +679,12 @@
         if (e.request_ended) r.ended = true;
         if (r.ended) done.push_back(r.id);
         // Without a retry budget each request asks a crowded pool as often as the limits allow.
-        if (now >= r.deadline || (!r.any_out() && retry_budget < 1))
+        if (now >= r.give_up || (!r.any_out() && retry_budget < 1))
             finish(r);
         else if (!r.ended && !r.any_out())
             place(r);
         release_held();
+        tell_fleet();
     }
 
     void on(const ClientGone& e) {
--- /dev/null
+++ b/src/fleet_view.cpp
@@ -0,0 +1,58 @@
+#include "fleet_view.hpp"
+
+#include <algorithm>
+
+namespace kelplb {
+
+namespace {
+constexpr Millis kFresh = 600;  // by then most of what was out has ended
+constexpr std::size_t kMostPeers = 64;
+std::uint16_t brief(ServerId id) { return static_cast<std::uint16_t>(id); }
+}  // namespace
+
+std::vector<std::uint8_t> FleetView::say(Millis now, const Shares& shares, std::vector<Out> out) {
+    std::vector<std::uint8_t> bytes{kTag};
+    for (std::uint32_t t = 0; t < shares.tenants() && bytes.size() < kLongest / 2; ++t)
+        bytes.push_back(Shares::pack(shares.rate(now, t)));
+    std::sort(out.begin(), out.end(), [](const Out& a, const Out& b) {
+        return a.out != b.out ? a.out > b.out : a.server < b.server;
+    });
+    for (const Out& o : out) {
+        if (o.out <= 0 || bytes.size() + 3 > kLongest) break;
+        bytes.push_back(static_cast<std::uint8_t>(brief(o.server) >> 8));
+        bytes.push_back(static_cast<std::uint8_t>(o.server));
+        bytes.push_back(static_cast<std::uint8_t>(std::min(o.out, 255)));
+    }
+    return bytes;
+}
+
+bool FleetView::hear(Millis now, std::uint32_t from, const std::vector<std::uint8_t>& bytes, Shares& shares) {
+    const std::size_t rates = std::min(shares.tenants(), kLongest / 2 - 1), head = 1 + rates;
+    if (bytes.size() < head || bytes.size() > kLongest || bytes[0] != kTag || (bytes.size() - head) % 3 != 0)
+        return false;
+    if (peers_.size() >= kMostPeers && !peers_.count(from)) return true;  // bounded; the rest is not needed
+    for (std::size_t t = 0; t < rates; ++t)
+        shares.heard(now, from, static_cast<std::uint32_t>(t), Shares::unpack(bytes[1 + t]));
+    Said& said = peers_[from];
+    said.at = now;
+    said.out.clear();
+    for (std::size_t i = head; i < bytes.size(); i += 3)
+        said.out[static_cast<std::uint16_t>(bytes[i] << 8 | bytes[i + 1])] += bytes[i + 2];
+    return true;
+}
+
+double FleetView::elsewhere(Millis now, ServerId server) const {
+    double sum = 0;
+    for (const auto& [from, said] : peers_) {
+        if (now >= said.at + kFresh) continue;
+        if (const auto at = said.out.find(brief(server)); at != said.out.end()) sum += at->second;
+    }
+    return sum;
+}
+
+bool FleetView::hears(Millis now) const {
+    return std::any_of(peers_.begin(), peers_.end(),
+                       [&](const auto& peer) { return now < peer.second.at + kFresh; });
+}
+
+}  // namespace kelplb
--- /dev/null
+++ b/src/fleet_view.hpp
@@ -0,0 +1,44 @@
+// What other sidecars have out at each server, as they last said, and the messages that say it. It only
+// narrows or orders what the balancer would do by itself. Free of I/O, time is passed in.
+//
+// A message: kTag, the tenants' rates a byte each (as many as there are tenants), then for each server with
+// something out the lower half of its id and the number, three bytes. Lost ones leave the last in force until
+// it is too old. Any that don't fit this form are dropped whole.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "shares.hpp"
+
+namespace kelplb {
+
+class FleetView {
+public:
+    static constexpr std::uint8_t kTag = 0xF1;
+    static constexpr std::size_t kLongest = 256;  // of a datagram between sidecars
+
+    struct Out {
+        ServerId server = 0;
+        int out = 0;
+    };
+    // The servers with most out first, as many as fit.
+    static std::vector<std::uint8_t> say(Millis now, const Shares& shares, std::vector<Out> out);
+    // Whether the bytes were such a message.
+    bool hear(Millis now, std::uint32_t from, const std::vector<std::uint8_t>& bytes, Shares& shares);
+    // Attempts out at the server from others.
+    double elsewhere(Millis now, ServerId server) const;
+    bool hears(Millis now) const;
+
+private:
+    struct Said {
+        Millis at = 0;
+        std::unordered_map<std::uint16_t, int> out;
+    };
+    std::map<std::uint32_t, Said> peers_;
+};
+
+}  // namespace kelplb
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -143,6 +143,7 @@
         r.aim = item["on-time-ms"].amount();
         if (item.has("aim-stretch")) r.aim_stretch = item["aim-stretch"].amount();
         if (item.has("credit")) r.worth = item["credit"].amount();
+        if (item.has("late-value")) r.late_worth = item["late-value"].amount();
         const double give_up = item.has("give-up-ms") ? item["give-up-ms"].amount() : 3000;
         c.longest_deadline = std::max(c.longest_deadline, give_up);
         s.classes.push_back(r);
@@ -169,8 +170,17 @@
         if (rules.has("fall-multiple")) s.fall_multiple = rules["fall-multiple"].amount();
         if (rules.has("warm-within-ms")) s.warm_within = rules["warm-within-ms"].amount();
     }
-    if (root.has("fees") && root["fees"].has("cross-zone"))
-        s.fees.cross_zone = root["fees"]["cross-zone"].amount();
+    if (root.has("fees")) {
+        const Field fees = root["fees"];
+        if (fees.has("cross-zone")) s.fees.cross_zone = fees["cross-zone"].amount();
+        if (fees.has("peer")) s.fees.peer = fees["peer"].amount();
+    }
+    if (root.has("tenants"))
+        for (const Field& item : root["tenants"].items()) {
+            c.tenants.push_back(item["name"].text());
+            s.tenants.push_back({item.has("quota-per-s") ? item["quota-per-s"].amount() : 0});
+        }
+    if (root.has("over-share-worth")) s.over_share_worth = root["over-share-worth"].amount();
     try {
         validate(s);
     } catch (const std::invalid_argument& error) {
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -54,6 +54,7 @@
     Settings settings;
     std::vector<std::string> zones;
     std::vector<std::string> classes;
+    std::vector<std::string> tenants;
     Millis connect_timeout = 1000;
     Millis idle_close = 15000;
     Millis longest_deadline = 3000;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -74,6 +74,9 @@
     if (!hint.empty()) event.effort = std::max(0.0, std::atof(std::string(hint).c_str()) / 1000);
     const auto name = std::find(names.begin(), names.end(), (*message)["X-Service-Class"]);
     event.class_index = static_cast<std::uint32_t>(name - names.begin());
+    const auto& tenants = config_.tenants;
+    const auto tenant = std::find(tenants.begin(), tenants.end(), (*message)["X-Account"]);
+    event.tenant = static_cast<std::uint32_t>(tenant - tenants.begin());
     Request& request = requests_[id];
     request.class_index = event.class_index;
     request.message = std::move(message);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -23,6 +23,7 @@
         check_amount(c.dedup_window, prefix + "dedup_window");
         check_amount(c.aim_stretch, prefix + "aim_stretch");
         check_amount(c.worth, prefix + "worth");
+        check_amount(c.late_worth, prefix + "late_worth");
     }
     check(s.siblings >= 1, "siblings");
     check(s.max_attempts >= 1, "max_attempts");
@@ -30,6 +31,10 @@
     check(std::isfinite(s.fall_multiple) && s.fall_multiple >= 1, "fall_multiple");
     check(s.cold_from >= 0 && s.cold_from <= 1, "cold_from");
     check_amount(s.fees.cross_zone, "fees.cross_zone");
+    check_amount(s.fees.peer, "fees.peer");
+    for (std::size_t i = 0; i < s.tenants.size(); ++i)
+        check_amount(s.tenants[i].quota_per_s, "tenants[" + std::to_string(i) + "].quota_per_s");
+    check(s.over_share_worth >= 0 && s.over_share_worth <= 1, "over_share_worth");
 }
 
 }  // namespace kelplb
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -164,6 +164,7 @@
         c.aim = start.number(prefix + "on-time-ms");
         c.aim_stretch = start.number_or(prefix + "aim-stretch", c.aim_stretch);
         c.worth = start.number_or(prefix + "credit", c.worth);
+        c.late_worth = start.number_or(prefix + "late-value", c.late_worth);
         s.classes.push_back(c);
         site.classes.emplace_back(start.text(prefix + "name"));
     }
@@ -179,6 +180,13 @@
     s.fall_multiple = start.number_or("rules.fall-multiple", s.fall_multiple);
     s.warm_within = start.number_or("rules.warm-within-ms", s.warm_within);
     s.fees.cross_zone = start.number_or("fees.cross-zone", s.fees.cross_zone);
+    s.fees.peer = start.number_or("fees.peer", s.fees.peer);
+    for (std::uint64_t i = 0, count = start.integer_or("tenants.count", 0); i < count; ++i) {
+        const std::string prefix = "tenants." + std::to_string(i) + ".";
+        site.tenants.emplace_back(start.text(prefix + "name"));
+        s.tenants.push_back({start.number_or(prefix + "quota-per-s", 0)});
+    }
+    s.over_share_worth = start.number_or("over-share-worth", s.over_share_worth);
     return site;
 }
 
@@ -319,6 +327,11 @@
         const auto& classes = instance.site.classes;
         const auto grade = std::find(classes.begin(), classes.end(), message.text("grade"));
         arrived.class_index = static_cast<std::uint32_t>(grade - classes.begin());
+        if (message.has("realm")) {
+            const auto& tenants = instance.site.tenants;
+            const auto realm = std::find(tenants.begin(), tenants.end(), message.text("realm"));
+            arrived.tenant = static_cast<std::uint32_t>(realm - tenants.begin());
+        }
         const std::string rid(message.text("rid"));
         const auto [known_id, fresh] = instance.request_ids.try_emplace(rid, instance.next_request);
         if (!fresh) message.fail("rid", "was given before");
--- a/src/wire.hpp
+++ b/src/wire.hpp
@@ -50,6 +50,7 @@
     Settings settings;
     std::vector<std::string> zones;
     std::vector<std::string> classes;
+    std::vector<std::string> tenants;
 
     ZoneId zone(std::string_view name);  // a name not met before gets the next number
 };
--- /dev/null
+++ b/tests/shares_test.cpp
@@ -0,0 +1,262 @@
+// Tenants' shares and what sidecars tell one another, and what the balancer makes of both.
+#include "shares.hpp"
+
+#include <cmath>
+#include <limits>
+
+#include "fleet_view.hpp"
+#include "rig.hpp"
+
+namespace kelplb::test {
+namespace {
+
+// Requests of tenant 0 at an even rate; how many a second are within its share after a while.
+double granted(Shares& shares, double per_s, Millis from = 0, Millis span = 20000) {
+    int within = 0;
+    const Millis gap = 1000 / per_s;
+    for (Millis t = from; t < from + span; t += gap)
+        if (shares.within(t, 0) && t >= from + span / 2) ++within;
+    return within * 1000 / (span / 2);
+}
+
+TEST(Shares, WithinTheQuotaEverythingIsAndBeyondItTheQuota) {
+    Shares calm({{40}}, 1), busy({{40}}, 1);
+    EXPECT_NEAR(granted(calm, 30), 30, 1);
+    EXPECT_NEAR(granted(busy, 100), 40, 2);
+}
+
+TEST(Shares, WithoutAQuotaOrATenantNothingIsBeyond) {
+    Shares none({{0}}, 4);
+    EXPECT_NEAR(granted(none, 500), 500, 5);
+    EXPECT_TRUE(none.within(1, 7));
+    EXPECT_TRUE(none.within(1, ~0u));
+}
+
+TEST(Shares, SidecarsDivideTheQuotaByWhatComesToEach) {
+    // 90 and 10 a second of a quota of 50: all together grant it, each its part.
+    Shares heavy({{50}}, 2), light({{50}}, 2);
+    double both = 0, most = 0;
+    for (int i = 0; i < 2000; ++i) {
+        const Millis t = i * 10;
+        if (i % 10 != 0) {
+            const bool ok = heavy.within(t, 0);
+            if (i >= 1000) both += ok, most += ok;
+        } else {
+            const bool ok = light.within(t, 0);
+            if (i >= 1000) both += ok;
+        }
+        if (i % 20 == 0) {
+            heavy.heard(t, 1, 0, Shares::unpack(Shares::pack(light.rate(t, 0))));
+            light.heard(t, 0, 0, Shares::unpack(Shares::pack(heavy.rate(t, 0))));
+        }
+    }
+    EXPECT_NEAR(both / 10, 50, 5);
+    EXPECT_NEAR(most / 10, 45, 5);
+}
+
+TEST(Shares, SilentOthersAreTakenToBeLikeTheMeanOfTheRest) {
+    Shares alone({{50}}, 4);
+    EXPECT_NEAR(granted(alone, 100), 12.5, 1.5);
+    // One is heard to have nothing: then only two are unknown. What it said is forgotten in time.
+    Shares told({{50}}, 4);
+    granted(told, 100);
+    for (Millis t = 20000; t < 22000; t += 100) told.heard(t, 1, 0, 0);
+    EXPECT_GT(granted(told, 100, 22000, 2000), 20);
+    EXPECT_NEAR(granted(told, 100, 30000), 12.5, 1.5);
+}
+
+TEST(Shares, OfNonsenseHeardNothingIsBelieved) {
+    Shares shares({{50}}, 2);
+    for (const double rate : {-1.0, std::nan(""), std::numeric_limits<double>::infinity()})
+        shares.heard(0, 1, 0, rate);
+    shares.heard(0, 1, 9, 1e9);  // no such tenant
+    shares.heard(0, 9, 0, 1e9);  // no such sidecar
+    EXPECT_NEAR(granted(shares, 100), 25, 2);
+}
+
+TEST(Shares, AByteSaysARateWithinATwentieth) {
+    for (double rate = 0.1; rate < 1e6; rate *= 1.37)
+        EXPECT_NEAR(Shares::unpack(Shares::pack(rate)) / rate, 1, 0.051) << rate;
+    EXPECT_EQ(Shares::unpack(Shares::pack(0)), 0);
+    EXPECT_EQ(Shares::pack(std::nan("")), 0);
+    EXPECT_EQ(Shares::pack(1e300), 255);
+}
+
+TEST(FleetView, WhatIsSaidIsHeardAndForgottenInTime) {
+    Shares shares({{10}, {20}}, 3);
+    FleetView view;
+    EXPECT_TRUE(view.hear(100, 1, FleetView::say(100, shares, {{0x12345, 3}, {7, 1}}), shares));
+    EXPECT_TRUE(view.hear(100, 2, FleetView::say(100, shares, {{0x12345, 2}}), shares));
+    EXPECT_EQ(view.elsewhere(200, 0x12345), 5);
+    EXPECT_EQ(view.elsewhere(200, 7), 1);
+    EXPECT_EQ(view.elsewhere(200, 8), 0);
+    EXPECT_TRUE(view.hear(300, 1, FleetView::say(300, shares, {}), shares)) << "replaces what it said before";
+    EXPECT_EQ(view.elsewhere(300, 0x12345), 2);
+    EXPECT_EQ(view.elsewhere(2000, 0x12345), 0);
+}
+
+TEST(FleetView, AMessageNeverOutgrowsADatagram) {
+    Shares shares(std::vector<Tenant>(300, Tenant{5}), 3);
+    std::vector<FleetView::Out> out;
+    for (ServerId id = 1; id <= 500; ++id) out.push_back({id, static_cast<int>(id)});
+    const auto bytes = FleetView::say(0, shares, out);
+    EXPECT_LE(bytes.size(), FleetView::kLongest);
+    FleetView view;
+    ASSERT_TRUE(view.hear(0, 1, bytes, shares));
+    EXPECT_EQ(view.elsewhere(0, 500), 255) << "the fullest first, as much as a byte holds";
+    EXPECT_EQ(view.elsewhere(0, 1), 0);
+}
+
+TEST(FleetView, WhatHasNotTheFormIsDroppedWhole) {
+    Shares shares({{10}}, 3);
+    const auto good = FleetView::say(0, shares, {{5, 2}});
+    const auto cut = std::vector<std::uint8_t>(good.begin(), good.end() - 1);
+    auto tag = good, longer = good;
+    tag[0] = 0;
+    longer.resize(400);
+    for (const auto& bytes :
+         {cut, tag, longer, std::vector<std::uint8_t>{}, std::vector<std::uint8_t>{0xF1}}) {
+        FleetView view;
+        EXPECT_FALSE(view.hear(0, 1, bytes, shares)) << bytes.size();
+        EXPECT_EQ(view.elsewhere(0, 5), 0);
+    }
+}
+
+Settings keyed(DedupScope scope) {
+    Settings s = make_settings({make_class(Effect::by_key, scope)});
+    return s;
+}
+
+TEST(GiveUp, AtTheAimWhereALateAnswerIsNoUseAndTheClientDoesNotAskAgain) {
+    Rig rig(keyed(DedupScope::cell));
+    rig.list(ListKind::full, make_servers(4));
+    const RequestId id = rig.request(0, 1000);
+    const Millis start = rig.now;
+    rig.pass(395);
+    EXPECT_TRUE(rig.closed(rig.requests.at(id)));
+    EXPECT_LE(rig.requests.at(id).sent.back().until, start + 400);
+    rig.settle();
+}
+
+TEST(GiveUp, NotBeforeTheDeadlineWhereClientsRepeatOrLateIsWorthSomethingOrCancellingIsBarred) {
+    const auto until = [](Settings s) {
+        Rig rig(std::move(s));
+        rig.list(ListKind::full, make_servers(4));
+        const RequestId id = rig.request(0, 1000);
+        return rig.requests.at(id).sent.back().until - rig.now;
+    };
+    Settings late = keyed(DedupScope::cell), barred = keyed(DedupScope::cell);
+    late.classes[0].late_worth = 0.3;
+    barred.may_cancel = false;
+    EXPECT_EQ(until(keyed(DedupScope::all)), 1000);
+    EXPECT_EQ(until(make_settings({make_class(Effect::repeatable)})), 1000);
+    EXPECT_EQ(until(make_settings({make_class(Effect::once)})), 1000);
+    EXPECT_EQ(until(late), 1000);
+    EXPECT_EQ(until(barred), 1000);
+}
+
+// A pool in which every answer takes `took`; of so many requests at once, those of a tenant beyond its share
+// that find a place.
+int placed(Millis took, bool beyond) {
+    Settings s = keyed(DedupScope::cell);
+    s.tenants = {{beyond ? 0.001 : 0}};
+    Rig rig(s);
+    rig.list(ListKind::full, make_servers(4));
+    for (int i = 0; i < 60; ++i) {
+        const RequestId id = rig.request();
+        if (rig.out(id)) rig.end(id, Outcome::completed, took);
+    }
+    int out = 0;
+    for (int i = 0; i < 60; ++i) {
+        const RequestId id = rig.next_id++;
+        rig.requests[id] = {s.classes[0], rig.now + 1000, {}, 0, false, false};
+        rig.give(RequestArrived{id, 0, 1000, 0, false, 0});
+        out += rig.out(id);
+    }
+    rig.settle();
+    return out;
+}
+
+TEST(Fit, AServerTakesNoMoreThanItAnswersInTime) {
+    const int quick = placed(30, false), slow = placed(120, false);
+    EXPECT_GT(slow, 4) << "one for each at the least";
+    EXPECT_GT(quick, slow * 2);
+    EXPECT_LT(slow, 30);
+}
+
+TEST(Fit, WhatIsBeyondItsShareLeavesRoom) {
+    EXPECT_LT(placed(80, true), placed(80, false));
+    EXPECT_GT(placed(80, true), 0) << "in an idle pool it is served like any";
+}
+
+TEST(Fit, OthersQueuesCountAsOurs) {
+    Settings s = keyed(DedupScope::cell);
+    s.may_tell = true, s.siblings = 2;
+    Rig rig(s);
+    rig.list(ListKind::full, make_servers(4));
+    for (int i = 0; i < 80; ++i) {
+        const RequestId id = rig.request();
+        if (rig.out(id)) rig.end(id, Outcome::completed, 50);
+    }
+    std::vector<std::uint8_t> bytes{FleetView::kTag};
+    for (const std::uint8_t server : {1, 2, 3})
+        for (const std::uint8_t byte : {std::uint8_t{0}, server, std::uint8_t{20}}) bytes.push_back(byte);
+    rig.give(PeerMessage{1, bytes});
+    for (int i = 0; i < 5; ++i) {
+        const RequestId id = rig.request();
+        ASSERT_TRUE(rig.out(id));
+        EXPECT_EQ(rig.where(id), 4U);
+        rig.end(id, Outcome::completed, 50);
+    }
+    rig.pass(5000);
+    std::set<ServerId> met;
+    for (int i = 0; i < 200; ++i) {
+        const RequestId id = rig.request();
+        met.insert(rig.where(id));
+        rig.end(id, Outcome::completed, 50);
+    }
+    EXPECT_EQ(met.size(), 4U) << "what was said long ago keeps nobody out";
+}
+
+TEST(Fit, AServerThatWasSlowIsTriedAgainInTime) {
+    Rig rig(keyed(DedupScope::cell));
+    rig.list(ListKind::full, make_servers(4));
+    const auto share = [&](Millis slow) {
+        int met = 0;
+        for (int i = 0; i < 400; ++i) {
+            const RequestId id = rig.request();
+            const bool one = rig.where(id) == 1;
+            met += one;
+            rig.end(id, Outcome::completed, one ? slow : 40);
+        }
+        return met;
+    };
+    EXPECT_LT(share(200), 30) << "left alone while others are quick";
+    rig.pass(20000);
+    EXPECT_GT(share(40), 25) << "and not for ever";
+}
+
+TEST(Told, AtMostSoOftenThatItCostsNextToNothing) {
+    for (const double fee : {0.0, 0.01, 1.0}) {
+        Settings s = keyed(DedupScope::cell);
+        s.may_tell = true, s.siblings = 4, s.fees.peer = fee;
+        Rig rig(s);
+        rig.list(ListKind::full, make_servers(4));
+        double bytes = 0;
+        for (int i = 0; i < 1000; ++i) {
+            const RequestId id = rig.request();
+            for (const Action& a : rig.last)
+                if (const auto* told = std::get_if<TellPeer>(&a); told && !told->to)
+                    bytes += 3.0 * static_cast<double>(told->bytes.size());
+            if (rig.out(id)) rig.end(id, Outcome::completed, 10);
+            for (const Action& a : rig.last)
+                if (const auto* told = std::get_if<TellPeer>(&a); told && !told->to)
+                    bytes += 3.0 * static_cast<double>(told->bytes.size());
+        }
+        EXPECT_GT(bytes, 0) << fee;
+        EXPECT_LT(fee * bytes / 256 / 1000, 0.0025) << fee;
+    }
+}
+
+}  // namespace
+}  // namespace kelplb::test
