Weigh crossing zones against a server's speed; tests of shares and quotas, each seen red

Change: keep_promising counts a server of another zone as slower by ten times the fee.

Sockets: a tenant beyond its share is refused where another's request still goes; quotas and worths are read, bad ones named.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -49,6 +49,7 @@
 // expected within this share of the aim; what is beyond its tenant's share leaves room for what is not.
 constexpr double kFit = 0.7, kFitOver = 0.25;
 constexpr double kPromising = 1.3, kLeastTook = 0.02;
+constexpr double kFar = 10;  // times the fee for crossing zones: how much quicker a far server must be
 constexpr double kMostTook = 4;  // aims: a longer answer tells no more than that
 constexpr Millis kTellEvery = 50, kLastMoment = 10, kTookMemory = 10000;
 constexpr double kTellFee = 0.002;                     // of the result, for telling the others what is out
@@ -383,11 +384,16 @@
     // a machine that is slow with one request, or full of others' requests.
     void keep_promising(std::vector<Server*>& from) const {
         if (from.size() < 3) return;
-        std::vector<double> times;
-        for (const Server* s : from) times.push_back(expected(*s));
-        std::nth_element(times.begin(), times.begin() + 1, times.end());
-        const double most = std::max(kLeastTook, times[1]) * kPromising;
-        std::erase_if(from, [&](const Server* s) { return expected(*s) > most; });
+        // Crossing zones costs: a far one must be that much quicker.
+        const auto cost = [&](const Server& one) {
+            const bool far = settings.my_zone && one.info.zone != *settings.my_zone;
+            return std::max(kLeastTook, expected(one)) * (far ? 1 + kFar * settings.fees.cross_zone : 1);
+        };
+        std::vector<double> costs;
+        for (const Server* s : from) costs.push_back(cost(*s));
+        std::nth_element(costs.begin(), costs.begin() + 1, costs.end());
+        const double most = costs[1] * kPromising;
+        std::erase_if(from, [&](const Server* s) { return cost(*s) > most; });
     }
 
     // So often that it costs no more than kTellFee of the result, whatever a message costs.
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -64,6 +64,67 @@
     while (app.ask(health).result_int() != 200u) ASSERT_LT(seconds_since(start), 30);
 }
 
+// ---- What a deployment may allow ------------------------------------------------------------------------
+
+TEST(Tenants, WhatIsBeyondItsShareIsRefusedWhereWhatIsWithinStillGoes) {
+    std::promise<void> release;
+    const auto released = release.get_future().share();
+    FakeServer server([&](Wire& wire, const HttpRequest&, int number) {
+        // A quarter of the aim: one more beside one that runs suits a tenant within its share, and no other.
+        if (number < 3) std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        if (number > 3) released.wait();
+        return wire.respond(200, "fine"), true;
+    });
+    json config = a_config(kNowhere, {host("s1", server.at())});
+    for (json& kind : config["settings"]["classes"]) kind["on-time-ms"] = 2000;
+    config["settings"]["tenants"] = {{{"name", "acme"}, {"quota-per-s", 0.0001}}, {{"name", "other"}}};
+    Running sidecar(config);
+    App app(sidecar.at), first(sidecar.at), second(sidecar.at);
+    const auto from = [](const char* tenant) {
+        return App::request("deposit", "25000m", "x", std::string("X-Account: ") + tenant + "\r\n");
+    };
+    for (int i = 0; i < 3; ++i) EXPECT_EQ(app.ask(from("other")).result_int(), 200u);
+    EXPECT_EQ(app.ask(from("acme")).result_int(), 200u) << "an idle server takes it";
+    first.wire.write(from("other"));
+    ASSERT_TRUE(server.wait_for(5));
+    EXPECT_EQ(app.ask(from("acme")).result_int(), 503u);
+    second.wire.write(from("other"));
+    ASSERT_TRUE(server.wait_for(6));
+    release.set_value();
+    EXPECT_EQ(first.answer().result_int(), 200u);
+    EXPECT_EQ(second.answer().result_int(), 200u);
+}
+
+TEST(Tenants, AreReadWithTheirQuotasAndBadOnesAreNamed) {
+    json config = a_config(kNowhere, {});
+    config["settings"]["tenants"] = {{{"name", "acme"}, {"quota-per-s", 12.5}}, {{"name", "other"}}};
+    config["settings"]["over-share-worth"] = 0.2;
+    config["settings"]["fees"] = {{"peer", 0.01}};
+    config["settings"]["classes"][0]["late-value"] = 0.5;
+    const Config read = read_config(config);
+    EXPECT_EQ(read.tenants, (std::vector<std::string>{"acme", "other"}));
+    EXPECT_EQ(read.settings.tenants.at(0).quota_per_s, 12.5);
+    EXPECT_EQ(read.settings.tenants.at(1).quota_per_s, 0);
+    EXPECT_EQ(read.settings.over_share_worth, 0.2);
+    EXPECT_EQ(read.settings.fees.peer, 0.01);
+    EXPECT_EQ(read.settings.classes.at(0).late_worth, 0.5);
+    const auto complaint = [&](const char* path, json value) {
+        json wrong = config;
+        wrong["settings"][json::json_pointer(path)] = std::move(value);
+        try {
+            read_config(wrong);
+        } catch (const ConfigError& error) {
+            return std::string(error.what());
+        }
+        return std::string("none");
+    };
+    EXPECT_NE(complaint("/tenants/0/quota-per-s", -1).find("tenants[0].quota-per-s"), std::string::npos);
+    EXPECT_NE(complaint("/tenants/1/name", 7).find("tenants[1].name"), std::string::npos);
+    EXPECT_NE(complaint("/tenants", 7).find("tenants"), std::string::npos);
+    EXPECT_NE(complaint("/over-share-worth", 3).find("over_share_worth"), std::string::npos);
+    EXPECT_NE(complaint("/fees/peer", "x").find("fees.peer"), std::string::npos);
+}
+
 // ---- How attempts end ------------------------------------------------------------------------------------
 
 struct Ending {
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -66,12 +66,17 @@
 }
 
 TEST(Shares, OfNonsenseHeardNothingIsBelieved) {
-    Shares shares({{50}}, 2);
-    for (const double rate : {-1.0, std::nan(""), std::numeric_limits<double>::infinity()})
-        shares.heard(0, 1, 0, rate);
-    shares.heard(0, 1, 9, 1e9);  // no such tenant
-    shares.heard(0, 9, 0, 1e9);  // no such sidecar
-    EXPECT_NEAR(granted(shares, 100), 25, 2);
+    for (const double rate : {-1.0, -1e9, std::nan(""), std::numeric_limits<double>::infinity()}) {
+        Shares shares({{50}}, 2);
+        int within = 0;
+        for (Millis t = 0; t < 10000; t += 10) {
+            shares.heard(t, 1, 0, rate);
+            shares.heard(t, 1, 9, 1e9);  // no such tenant
+            shares.heard(t, 9, 0, 1e9);  // no such sidecar
+            within += shares.within(t, 0) && t >= 5000;
+        }
+        EXPECT_NEAR(within / 5.0, 25, 2) << rate;
+    }
 }
 
 TEST(Shares, AByteSaysARateWithinATwentieth) {
@@ -135,6 +140,7 @@
     rig.pass(395);
     EXPECT_TRUE(rig.closed(rig.requests.at(id)));
     EXPECT_LE(rig.requests.at(id).sent.back().until, start + 400);
+    EXPECT_EQ(rig.sends(id), 1U) << "what is over is not sent again";
     rig.settle();
 }
 
@@ -236,12 +242,36 @@
     EXPECT_GT(share(40), 25) << "and not for ever";
 }
 
+TEST(Fit, WhereCrossingZonesCostsAFarServerMustBeThatMuchQuicker) {
+    const auto far = [](double fee, Millis near_took, Millis far_took) {
+        Settings s = keyed(DedupScope::cell);
+        s.my_zone = 1, s.fees.cross_zone = fee;
+        Rig rig(s);
+        rig.list(ListKind::full, make_servers(8));
+        int crossed = 0;
+        for (int i = 0; i < 400; ++i) {
+            const RequestId id = rig.request();
+            const bool near = rig.servers.at(rig.where(id)).zone == 1;
+            rig.end(id, Outcome::completed, near ? near_took : far_took);
+            crossed += i >= 100 && !near;
+        }
+        return crossed;
+    };
+    EXPECT_GT(far(0, 100, 100), 150) << "free: all alike";
+    EXPECT_GT(far(0.03, 100, 80), 10) << "near ones are preferred, not the only ones";
+    EXPECT_LT(far(0.05, 100, 100), far(0.0, 100, 100) / 4);
+    EXPECT_GT(far(0, 100, 60), 200);
+    EXPECT_LT(far(0.2, 100, 60), 60) << "quicker, but not by the fee";
+    EXPECT_GT(far(0.03, 200, 40), 250) << "much quicker";
+}
+
 TEST(Told, AtMostSoOftenThatItCostsNextToNothing) {
     for (const double fee : {0.0, 0.01, 1.0}) {
-        Settings s = keyed(DedupScope::cell);
+        Settings s = keyed(DedupScope::all);
         s.may_tell = true, s.siblings = 4, s.fees.peer = fee;
         Rig rig(s);
-        rig.list(ListKind::full, make_servers(4));
+        rig.list(ListKind::full, make_servers(8));
+        rig.burst(8, 100000);  // stay out: there is always something to tell
         double bytes = 0;
         for (int i = 0; i < 1000; ++i) {
             const RequestId id = rig.request();
