Hold nothing back beyond a share where the settings say it is worth as much

Found on reading the change again: over_share_worth was read and checked, and nothing used it, so a deployment whose traffic beyond a share keeps its full worth would have had it refused first. Only where it is worth less does it now leave room. Tests state 0.2 as the platform does, and the case of 1.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -624,7 +624,8 @@
         const bool asks_again = r.kind.effect != Effect::by_key || r.kind.dedup_scope == DedupScope::all;
         if (settings.may_cancel && r.kind.late_worth <= 0 && !asks_again)
             r.give_up = std::min(r.deadline, now + r.kind.aim - kLastMoment);
-        r.within = shares.within(now, e.tenant);
+        // Booked in any case, for the others' sake; beyond a share that costs no worth nothing is held back.
+        r.within = shares.within(now, e.tenant) || settings.over_share_worth >= 1;
         if (arrived_at >= 0) smooth(gap, now - arrived_at);
         arrived_at = now;
         retry_budget = std::min(retry_budget + kRetryShare, kRetryBurst);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -78,6 +78,7 @@
     json config = a_config(kNowhere, {host("s1", server.at())});
     for (json& kind : config["settings"]["classes"]) kind["on-time-ms"] = 2000;
     config["settings"]["tenants"] = {{{"name", "acme"}, {"quota-per-s", 0.0001}}, {{"name", "other"}}};
+    config["settings"]["over-share-worth"] = 0.2;
     Running sidecar(config);
     App app(sidecar.at), first(sidecar.at), second(sidecar.at);
     const auto from = [](const char* tenant) {
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -198,8 +198,9 @@
 
 // A pool in which every answer takes `took`; of so many requests at once, those of a tenant beyond its share
 // that find a place.
-int placed(Millis took, bool beyond) {
+int placed(Millis took, bool beyond, double over_share_worth = 0.2) {
     Settings s = keyed(DedupScope::cell);
+    s.over_share_worth = over_share_worth;
     s.tenants = {{beyond ? 0.001 : 0}};
     Rig rig(s);
     rig.list(ListKind::full, make_servers(4));
@@ -228,6 +229,7 @@
 TEST(Fit, WhatIsBeyondItsShareLeavesRoom) {
     EXPECT_LT(placed(80, true), placed(80, false));
     EXPECT_GT(placed(80, true), 0) << "in an idle pool it is served like any";
+    EXPECT_EQ(placed(80, true, 1), placed(80, false)) << "where it is worth as much, nothing is held back";
 }
 
 TEST(Fit, OthersQueuesCountAsOurs) {
