Play experiment files on sockets; one open load by steps, laws and histograms

Losses are put down to what they met, as figures.

The load keeps to intended starts, with laws of arrivals and clients as the world's, steps of its rate, a bound on connections and on what is open, answers verified on demand, times in log histograms. Results are JSON lines with build, machine, course, times and faults.

--- a/src/lab/demo.cpp
+++ b/src/lab/demo.cpp
@@ -44,8 +44,8 @@
     for (const auto& [name, t] : load.tallies()) {
         const auto count = [](std::size_t n) { return std::to_string(n); };
         result.row({name, count(t.asked), count(t.in_time), count(t.late), count(t.refused), count(t.failed),
-                    count(t.unanswered), count(t.tries), shown(t.percentile(0.5)),
-                    shown(t.percentile(0.99))});
+                    count(t.unanswered), count(t.tries), shown(t.times.percentile(0.5)),
+                    shown(t.times.percentile(0.99))});
         unanswered += t.unanswered;
         asked += t.asked;
     }
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -56,13 +56,36 @@
     return nullptr;
 }
 
-void read_set(Section section, std::map<std::string, double>& set) {
+// `"client.retries" = 1` and `client.retries = 1` say the same.
+void read_set(Section section, std::map<std::string, double>& set, const std::string& before = "") {
     for (const std::string& key : section.keys()) {
-        const Known* one = known(key);
+        if (before.empty() && section.has_table(key.c_str())) {
+            read_set(section.section(key.c_str()), set, key + ".");
+            continue;
+        }
+        const Known* one = known(before + key);
         if (!one) continue;  // done() complains
         double value = 0;
         section.number(key.c_str(), value, one->least, one->most);
-        set[key] = value;
+        set[before + key] = value;
+    }
+    section.done();
+}
+
+void read_vary(Section section, std::vector<Experiment::Vary>& vary, const std::string& before = "") {
+    for (const std::string& key : section.keys()) {
+        if (before.empty() && section.has_table(key.c_str())) {
+            read_vary(section.section(key.c_str()), vary, key + ".");
+            continue;
+        }
+        const Known* one = known(before + key);
+        if (!one) continue;
+        Experiment::Vary v{before + key, {}};
+        section.numbers(key.c_str(), v.values, 100);
+        for (const double value : v.values)
+            if (value < one->least || value > one->most)
+                section.wrong(key.c_str(), "has a value out of its range");
+        vary.push_back(v);
     }
     section.done();
 }
@@ -135,18 +158,7 @@
         e.day.faults.push_back(f);
     }
 
-    Section vary = root.section("vary");
-    for (const std::string& key : vary.keys()) {
-        const Known* one = known(key);
-        if (!one) continue;
-        Experiment::Vary v{key, {}};
-        vary.numbers(key.c_str(), v.values, 100);
-        for (const double value : v.values)
-            if (value < one->least || value > one->most)
-                vary.wrong(key.c_str(), "has a value out of its range");
-        e.vary.push_back(v);
-    }
-    vary.done();
+    read_vary(root.section("vary"), e.vary);
     std::size_t variants = std::max<std::size_t>(1, e.ways.size());
     for (const auto& v : e.vary) variants *= v.values.size();
     if (variants > kMostVariants) root.wrong("vary", "makes more than 1000 variants");
@@ -163,6 +175,7 @@
 
     for (Section& bound : root.sections("bound", 100)) {
         Experiment::Bound b;
+        b.line = bound.line();
         bound.need("figure"), bound.text("figure", b.figure);
         const auto& all = known_figures();
         const bool paired = b.figure == "loss removed" && !e.pair.empty();
@@ -225,6 +238,17 @@
     return text.empty() ? "all" : text;
 }
 
+std::optional<std::size_t> Experiment::base_of(std::size_t variant) const {
+    if (pair.empty()) return {};
+    double first = 0;  // the first way
+    for (const Vary& v : vary)
+        if (v.name == pair) first = v.values.front();
+    const auto all = variants();
+    Variant base = all.at(variant);
+    base[pair] = first;
+    return static_cast<std::size_t>(std::find(all.begin(), all.end(), base) - all.begin());
+}
+
 sim::Case Experiment::day_of(const Variant& variant, std::uint64_t seed) const {
     sim::Case made = day;
     made.seed = seed;
@@ -249,12 +273,13 @@
         "asked",         "in time",     "late",          "refused",    "failed",   "lost in restarts",
         "attempts",      "runs",        "cold peak",     "grant peak", "removals", "removal s",
         "never removed", "plans taken", "plans refused", "broken",     "events",   "loss",
-        "in time share"};
+        "in time share", "p50 ms",      "p99 ms",        "unanswered", "doubled"};
     return all;
 }
 
-std::map<std::string, double> figures_of(const sim::Case& day) {
-    const sim::Played played = sim::play(day);
+std::map<std::string, double> figures_of(const sim::Case& day, sim::Course* course) {
+    sim::Played played = sim::play(day);
+    if (course) *course = std::move(played.course);
     std::map<std::string, double> figures;
     for (const std::string& name : known_figures()) figures[name] = 0;
     for (const auto& [name, value] : played.figures)
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -9,6 +9,7 @@
 
 #include "settings_file/error.hpp"
 #include "sim/days.hpp"
+#include "sim/scene.hpp"
 
 namespace cobaltshift::lab {
 
@@ -42,6 +43,9 @@
     using Variant = std::map<std::string, double>;
     std::vector<Variant> variants() const;
     std::string name_of(const Variant& variant) const;
+    // The variant, by its place in variants(), that this one is held against: itself, where it is the first
+    // of its pairs. None without `pair`.
+    std::optional<std::size_t> base_of(std::size_t variant) const;
     sim::Case day_of(const Variant& variant, std::uint64_t seed) const;
 };
 
@@ -52,7 +56,7 @@
 // All that a day can be measured by, derived ones included.
 const std::vector<std::string>& known_figures();
 // With the derived ones: "in time share", "loss", "removal s", "broken".
-std::map<std::string, double> figures_of(const sim::Case& day);
+std::map<std::string, double> figures_of(const sim::Case& day, sim::Course* course = nullptr);
 
 struct RunExperiment {
     std::string file;
@@ -60,6 +64,7 @@
     bool quick = false;
     unsigned jobs = 0;  // 0: as many as cores
     bool progress = false;
+    bool sockets = false;  // on real processes
 };
 // Exit code: 0 all bounds hold, 1 one falls short, 2 a file can't be read or used.
 int run_experiment(const RunExperiment& what, std::ostream& out, std::ostream& err);
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -30,7 +30,7 @@
 std::string Fleet::config(std::size_t number) const {
     const Archive::Options& server = options_.server;
     json classes = json::array();
-    for (const ClassLoad& kind : usual_classes()) {
+    for (const ClassLoad& kind : options_.classes) {
         using Effect = ClassLoad::Effect;
         const char* effect = kind.effect == Effect::safe    ? "repeatable"
                              : kind.effect == Effect::keyed ? "by_key"
@@ -114,6 +114,16 @@
     });
 }
 
+void Fleet::drain(std::size_t number, Millis length) {
+    list(number, "DRAINING");
+    later(length / 2, [this, number] { list(number, "DELETED"); });
+    later(length, [this, number] {
+        servers_[number]->crash();
+        servers_[number]->restart();
+        list(number, "SERVING");
+    });
+}
+
 void Fleet::later(Millis after, std::function<void()> what) {
     std::erase_if(timers_, [&](asio::steady_timer& t) {
         return t.expiry() < Clock::Steady::now() - std::chrono::seconds(1);
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -21,6 +21,7 @@
         std::string settings_file;  // given to each forwarder; empty: none
         std::size_t sockets = 384;  // descriptors of a forwarder
         Millis notice = 1000;       // after which discovery tells of a dead server
+        std::vector<ClassLoad> classes = usual_classes();
         std::uint64_t seed = 1;
     };
     Fleet(asio::io_context& io, const Clock& clock, Options options);
@@ -34,6 +35,9 @@
 
     // Dies now, and discovery tells of it after a while; comes back cold after `down`.
     void crash(std::size_t server, Millis down);
+    // Discovery tells that it drains, then that it is gone, then that it serves again, as another process.
+    void drain(std::size_t server, Millis length);
+    const Options& options() const { return options_; }
 
     Archive& server(std::size_t number) { return *servers_[number]; }
     std::size_t servers() const { return servers_.size(); }
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 
 namespace cobaltshift::lab {
 
@@ -11,29 +12,29 @@
             {"annotate", ClassLoad::Effect::keyed, 0.1, 200, 1000}};
 }
 
-double ClassTally::percentile(double p) const {
-    if (times.empty()) return 0;
-    std::vector<Millis> sorted = times;
-    const auto at = sorted.begin() + static_cast<std::ptrdiff_t>(p * static_cast<double>(sorted.size() - 1));
-    std::nth_element(sorted.begin(), at, sorted.end());
-    return *at;
+void Tally::merge(const Tally& other) {
+    asked += other.asked, in_time += other.in_time, late += other.late, refused += other.refused;
+    failed += other.failed, unanswered += other.unanswered, tries += other.tries, overdue += other.overdue;
+    wrong += other.wrong;
+    times.merge(other.times), lags.merge(other.lags);
 }
 
-// An answer is waited for beyond its deadline, so that one that never comes is told from one that a busy
-// machine holds up.
-constexpr Millis kPatience = 15000;
-
+// A connection, counted while it lives.
 struct Load::Link {
-    explicit Link(asio::io_context& io) : socket(io) {}
+    Link(asio::io_context& io, Load& load) : socket(io), of(load) {
+        of.links_peak_ = std::max(of.links_peak_, ++of.links_);
+    }
+    ~Link() { --of.links_; }
     tcp::socket socket;
     beast::flat_buffer in;
+    Load& of;
 };
 
 // A first try with its retries; on one connection at a time.
 struct Load::Ask {
     explicit Ask(asio::io_context& io) : timer(io) {}
     const ClassLoad* kind = nullptr;
-    std::size_t front = 0;
+    std::size_t front = 0, step = 0;
     std::string about;
     Millis began = 0, until = 0;
     Millis lag = 0;
@@ -48,8 +49,9 @@
 };
 
 Load::Load(asio::io_context& io, const Clock& clock, Options options)
-    : io_(io), clock_(clock), options_(std::move(options)), random_(options_.seed), next_(io) {
+    : io_(io), clock_(clock), options_(std::move(options)), lots_(options_.seed, "load/asks"), next_(io) {
     for (const ClassLoad& kind : options_.classes) tallies_[kind.name];
+    if (options_.workload.clients > 0) clients_.emplace(options_.workload.clients, options_.workload.zipf);
 }
 
 void Load::front(std::size_t number, tcp::endpoint at) {
@@ -58,138 +60,208 @@
     idle_.erase(number);
 }
 
-void Load::run(Millis for_ms) {
+void Load::run(std::vector<Step> steps) {
+    steps_ = std::move(steps);
     running_ = true;
-    next_at_ = clock_.now();
-    end_ = next_at_ + for_ms;
-    arrive();
+    start_ = end_ = clock_.now();
+    step_ = 0;
+    next_step();
+    if (running_) arrive();
+}
+
+void Load::next_step() {
+    if (step_ >= steps_.size() || stopped_early_) {
+        running_ = false;
+        return;
+    }
+    const Step& step = steps_[step_++];
+    by_step_.emplace_back();
+    step_from_ = end_;
+    end_ += step.length;
+    const std::string name = "load/" + std::to_string(step_);
+    arrivals_.emplace(options_.workload, step.rate / 1000, sim::Stream(options_.seed, name + "/moments"),
+                      sim::Stream(options_.seed, name + "/bursts"));
+    next_at_ = step_from_ + arrivals_->next();
+}
+
+Tally Load::all() const {
+    Tally sum;
+    for (const auto& [name, tally] : tallies_) sum.merge(tally);
+    return sum;
 }
 
 double Load::in_time() const {
-    double asked = 0, good = 0;
-    for (const auto& [name, tally] : tallies_)
-        asked += static_cast<double>(tally.asked), good += static_cast<double>(tally.in_time);
-    return asked > 0 ? good / asked : 1;
+    const Tally sum = all();
+    return sum.asked > 0 ? static_cast<double>(sum.in_time) / static_cast<double>(sum.asked) : 1;
 }
 
 void Load::arrive() {
-    while (next_at_ <= clock_.now()) {
-        double left = random_.unit();
+    while (running_ && next_at_ <= clock_.now()) {
+        if (next_at_ >= end_) {
+            next_step();
+            continue;
+        }
+        double left = lots_.unit();
         std::size_t kind = 0;
         double total = 0;
         for (const auto& c : options_.classes) total += c.share;
         for (left *= total; kind + 1 < options_.classes.size() && left >= options_.classes[kind].share;
              ++kind)
             left -= options_.classes[kind].share;
-        std::size_t front = random_.below(fronts_.size());
-        if (!options_.weights.empty()) {
+        std::size_t front = 0;
+        if (clients_) {
+            front = clients_->draw(lots_) % fronts_.size();
+        } else if (options_.weights.empty()) {
+            front = lots_.below(fronts_.size());
+        } else {
             double sum = 0;
             for (const double weight : options_.weights) sum += weight;
-            double at = random_.unit() * sum;
-            for (front = 0; front + 1 < fronts_.size() && at >= options_.weights[front]; ++front)
+            double at = lots_.unit() * sum;
+            for (; front + 1 < fronts_.size() && at >= options_.weights[front]; ++front)
                 at -= options_.weights[front];
         }
         auto ask = std::make_shared<Ask>(io_);
         ask->kind = &options_.classes[kind];
         ask->front = front;
+        ask->step = by_step_.size() - 1;
         ask->began = next_at_;  // as intended: what the tool itself is late by counts
         ask->until = ask->began + ask->kind->deadline;
         ask->about = std::to_string(options_.seed) + "-" + std::to_string(++ids_);
         ++tallies_[ask->kind->name].asked;
+        ++by_step_.back().asked;
         ++open_;
-        attempt(ask);
-        next_at_ -= std::log(1 - random_.unit()) * 1000 / options_.rate;
-        if (next_at_ >= end_) {
-            running_ = false;
-            return;
-        }
+        next_at_ = step_from_ + arrivals_->next();
+        if (open_ > options_.most_open)
+            close(ask, &Tally::unanswered, 0);
+        else
+            attempt(ask);
+    }
+    if (!running_) {
+        if (over() && done_) asio::post(io_, done_);
+        return;
     }
-    next_.expires_at(clock_.point(next_at_));
+    next_.expires_at(clock_.point(std::min(next_at_, end_)));
     next_.async_wait([this](error_code ec) {
         if (!ec) arrive();
     });
 }
 
-void Load::attempt(std::shared_ptr<Ask> ask) {
-    if (!fronts_[ask->front]) return ended(ask, 0, 0);
+void Load::attempt(AskPtr ask) {
+    const std::uint64_t number = ++ask->number;
+    ask->timer.expires_at(clock_.point(ask->until + options_.linger));
+    ask->timer.async_wait([this, ask, number](error_code ec) {
+        if (!ec && ask->number == number) ended(ask, 0, 0);
+    });
+    if (!fronts_.at(ask->front)) return ended(ask, 0, 0);
+    auto& idle = idle_[ask->front];
+    ask->used_link = !idle.empty();
+    if (ask->used_link) {
+        ask->link = idle.back();
+        idle.pop_back();
+        return send(ask);
+    }
+    if (options_.connections > 0 && links_ >= options_.connections && !drop_idle())
+        return waiting_.push_back(ask);
+    connect(ask);
+}
+
+// Of another front, to make room. False: all are in use.
+bool Load::drop_idle() {
+    for (auto& [front, links] : idle_)
+        if (!links.empty()) {
+            links.pop_front();
+            return true;
+        }
+    return false;
+}
+
+// What waits for a connection, now that one more may be had.
+void Load::serve_waiting() {
+    while (!waiting_.empty() && (links_ < options_.connections || drop_idle())) {
+        const AskPtr ask = waiting_.front();
+        waiting_.pop_front();
+        if (!ask->over) attempt(ask);
+    }
+}
+
+void Load::connect(const AskPtr& ask) {
+    ask->link = std::make_shared<Link>(io_, *this);
+    ask->link->socket.async_connect(*fronts_[ask->front],
+                                    [this, ask, number = ask->number, link = ask->link](error_code ec) {
+                                        if (ask->number != number) return;
+                                        if (ec) return ended(ask, 0, 0);
+                                        error_code ignored;
+                                        link->socket.set_option(tcp::no_delay(true), ignored);
+                                        send(ask);
+                                    });
+}
+
+void Load::send(const AskPtr& ask) {
     const ClassLoad& kind = *ask->kind;
-    if (!ask->used_link) ++ask->tries, ++tallies_[kind.name].tries;
     const Millis now = clock_.now();
-    if (ask->tries == 1) ask->lag = std::max(ask->lag, now - ask->began);
+    ++ask->tries;
+    ++tallies_[kind.name].tries, ++by_step_[ask->step].tries;
+    if (ask->tries == 1) {
+        ask->lag = std::max(0.0, now - ask->began);
+        tallies_[kind.name].lags.add(ask->lag), by_step_[ask->step].lags.add(ask->lag);
+    }
     HttpRequest& request = ask->request;
     const bool safe = kind.effect == ClassLoad::Effect::safe;
-    request =
-        HttpRequest(safe ? http::verb::get : http::verb::post, "/" + kind.name + "?sid=" + ask->about, 11);
-    request.set("Host", "lab");
+    request = HttpRequest(safe ? http::verb::get : http::verb::post,
+                          (kind.path.empty() ? "/" + kind.name : kind.path) + "?sid=" + ask->about, 11);
+    request.set("Host", options_.host);
     request.set("X-Correlation-Id", ask->about + "-" + std::to_string(++ids_));
     request.set("X-Service-Class", kind.name);
     request.set("X-Time-Left", std::to_string(static_cast<long>(std::max(0.0, ask->until - now))) + "m");
     if (ask->tries > 1) request.set("X-Repeat", "1");
     if (kind.effect == ClassLoad::Effect::keyed) request.set("Idempotency-Key", ask->about);
-    if (!safe) request.body() = "said";
+    if (!safe) request.body().assign(kind.body_bytes, 's');
     request.prepare_payload();
-    const std::uint64_t number = ++ask->number;
-    ask->timer.expires_at(clock_.point(ask->until + kPatience));
-    ask->timer.async_wait([this, ask, number](error_code ec) {
-        if (!ec && ask->number == number) ended(ask, 0, 0);
-    });
-    const auto send = [this, ask, number] {
-        if (ask->number != number) return;
-        http::async_write(ask->link->socket, ask->request, [](error_code, std::size_t) {});
-        ask->response = {};
-        http::async_read(ask->link->socket, ask->link->in, ask->response,
-                         [this, ask, number, link = ask->link](error_code ec, std::size_t) {
-                             if (ask->number != number) return;
-                             // Closed between requests, crossing ours: once more on a new connection.
-                             if (ec && ask->used_link && ec == http::error::end_of_stream) {
-                                 ask->link.reset();
-                                 idle_.erase(ask->front);
-                                 return attempt(ask);
-                             }
-                             if (ec) return ended(ask, 0, 0);
-                             const auto advice = ask->response["Retry-After"];
-                             if (ask->response.keep_alive()) {
-                                 idle_[ask->front].push_back(link);
-                                 ask->link.reset();
-                             }
-                             ended(ask, ask->response.result_int(),
-                                   advice.empty() ? 0 : std::atof(std::string(advice).c_str()) * 1000);
-                         });
-    };
-    auto& idle = idle_[ask->front];
-    ask->used_link = !idle.empty();
-    if (ask->used_link) {
-        ask->link = idle.back();
-        idle.pop_back();
-        return send();
+    http::async_write(ask->link->socket, request, [ask, link = ask->link](error_code, std::size_t) {});
+    ask->response = {};
+    http::async_read(ask->link->socket, ask->link->in, ask->response,
+                     [this, ask, number = ask->number, link = ask->link](error_code ec, std::size_t) {
+                         if (ask->number == number) came(ask, ec);
+                     });
+}
+
+void Load::came(const AskPtr& ask, error_code ec) {
+    // Closed between requests, crossing ours: once more on a new connection, as no try of its own.
+    if (ec == http::error::end_of_stream && ask->used_link) {
+        --ask->tries;
+        --tallies_[ask->kind->name].tries, --by_step_[ask->step].tries;
+        ask->link.reset();
+        idle_.erase(ask->front);
+        return attempt(ask);
     }
-    ask->link = std::make_shared<Link>(io_);
-    ask->link->socket.async_connect(*fronts_[ask->front], [this, ask, number, send](error_code ec) {
-        if (ask->number != number) return;
-        if (ec) return ended(ask, 0, 0);
-        error_code ignored;
-        ask->link->socket.set_option(tcp::no_delay(true), ignored);
-        send();
-    });
+    if (ec) return ended(ask, 0, 0);
+    const auto advice = ask->response["Retry-After"];
+    if (ask->response.keep_alive()) idle_[ask->front].push_back(std::move(ask->link));
+    ask->link.reset();
+    ended(ask, ask->response.result_int(),
+          advice.empty() ? 0 : std::atof(std::string(advice).c_str()) * 1000);
 }
 
-void Load::ended(const std::shared_ptr<Ask>& ask, unsigned status, Millis retry_after) {
+void Load::ended(const AskPtr& ask, unsigned status, Millis retry_after) {
     if (ask->over) return;
     ++ask->number;
-    ask->used_link = false;
     if (ask->link) {
         error_code ignored;
         ask->link->socket.close(ignored);
         ask->link.reset();
     }
-    ClassTally& tally = tallies_[ask->kind->name];
     const Millis now = clock_.now();
-    if (now > ask->until) ++tally.overdue;
+    Tally &kind = tallies_[ask->kind->name], &step = by_step_[ask->step];
+    if (now > ask->until) ++kind.overdue, ++step.overdue;
+    if (status == 200 && options_.verify &&
+        ask->response.body().find(std::string(ask->request.target())) == std::string::npos) {
+        ++kind.wrong, ++step.wrong;
+        return close(ask, &Tally::failed, status);
+    }
     if (status == 200) {
-        tally.times.push_back(now - ask->began);
-        const bool good = now - ask->began <= ask->kind->aim;
-        ++(good ? tally.in_time : tally.late);
-        return close(ask, !good, status);
+        const Millis took = now - ask->began;
+        kind.times.add(took), step.times.add(took);
+        return close(ask, took <= ask->kind->aim ? &Tally::in_time : &Tally::late, status);
     }
     // A refusal says that trying again is harmless; after a failure only what may be repeated is.
     const bool refused = status == 429 || status == 503;
@@ -200,19 +272,34 @@
         ask->timer.async_wait([this, ask](error_code ec) {
             if (!ec) attempt(ask);
         });
-        return;
+        return serve_waiting();
     }
-    ++(refused ? tally.refused : status == 0 ? tally.unanswered : tally.failed);
-    close(ask, true, status);
+    close(ask, refused ? &Tally::refused : status == 0 ? &Tally::unanswered : &Tally::failed, status);
 }
 
-void Load::close(const std::shared_ptr<Ask>& ask, bool lost, unsigned status) {
-    if (lost && lost_)
+void Load::close(const AskPtr& ask, std::size_t Tally::*end, unsigned status) {
+    Tally& step = by_step_[ask->step];
+    ++(tallies_[ask->kind->name].*end), ++(step.*end);
+    const auto slot = static_cast<std::size_t>((ask->began - start_) / sim::Course::kSlot);
+    if (course_.slots.size() <= slot) course_.slots.resize(slot + 1);
+    const std::size_t how = end == &Tally::in_time   ? 0
+                            : end == &Tally::late    ? 1
+                            : end == &Tally::refused ? 2
+                                                     : 3;
+    ++course_.slots[slot][how];
+    if (how > 0 && lost_)
         lost_(
             {std::string(ask->request.target()), ask->kind->name, ask->front, ask->began, ask->lag, status});
     ask->over = true;
     ask->timer.cancel();
     --open_;
+    const std::size_t over_now = step.in_time + step.late + step.refused + step.failed + step.unanswered;
+    if (ask->step + 1 == by_step_.size() && over_now >= 200 &&
+        static_cast<double>(over_now - step.in_time) > options_.stop_lost * static_cast<double>(over_now)) {
+        stopped_early_ = true;
+        end_ = std::min(end_, clock_.now());
+    }
+    serve_waiting();
     if (over() && done_) asio::post(io_, done_);
 }
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -52,10 +52,13 @@
     replayed->add_flag("--shrink", again.shorten, "looks for a smaller case that breaks the same rule");
     replayed->add_option("--write", again.write, "writes the smaller case to this file");
     RunExperiment experiment;
-    CLI::App* ran = app.add_subcommand("run", "plays an experiment file in virtual time");
+    CLI::App* ran = app.add_subcommand("run", "plays an experiment file");
     ran->add_option("FILE", experiment.file)->required();
     ran->add_flag("--quick", experiment.quick, "on its few seeds");
     ran->add_option("--results", experiment.results, "JSON lines, appended to; goes on where they stop");
+    std::string engine = "world";
+    ran->add_option("--engine", engine, "world (virtual time) or sockets (real processes)")
+        ->check(CLI::IsMember({"world", "sockets"}));
     ran->add_option("--jobs", experiment.jobs, "days at a time; else as many as cores")
         ->check(CLI::Range(1, 256));
     for (const Scenario& scenario : scenarios()) options(app.add_subcommand(scenario.name, scenario.about));
@@ -75,6 +78,7 @@
         }
         if (show->parsed()) return measured(demo(run), json);
         if (ran->parsed()) {
+            experiment.sockets = engine == "sockets";
             experiment.progress = ::isatty(STDERR_FILENO) != 0;
             return run_experiment(experiment, std::cout, std::cerr);
         }
--- a/src/lab/planner_children.cpp
+++ b/src/lab/planner_children.cpp
@@ -12,11 +12,11 @@
     return probe.local_endpoint();
 }
 
-PlannerChildren::PlannerChildren(asio::io_context& io, const Folder& folder)
-    : io_(io), folder_(folder), children_(kPlanners) {
-    for (std::size_t p = 0; p < kPlanners; ++p) at_.push_back(free_address(io));
+PlannerChildren::PlannerChildren(asio::io_context& io, const Folder& folder, std::size_t count)
+    : io_(io), folder_(folder), children_(count) {
+    for (std::size_t p = 0; p < count; ++p) at_.push_back(free_address(io));
     secret_ = folder.write("secret", kLabSecret);
-    for (std::size_t p = 1; p < kPlanners; ++p)
+    for (std::size_t p = 1; p < count; ++p)
         ::mkdir((folder.path() + "/state" + std::to_string(p)).c_str(), 0755);
 }
 
--- a/src/lab/planner_children.hpp
+++ b/src/lab/planner_children.hpp
@@ -17,7 +17,7 @@
 
 class PlannerChildren {
 public:
-    PlannerChildren(asio::io_context& io, const Folder& folder);
+    PlannerChildren(asio::io_context& io, const Folder& folder, std::size_t count = kPlanners);
     // The file to be given to each forwarder.
     std::string forwarders_settings() const;
     // As planner for servers of this kind.
--- a/src/lab/planners.cpp
+++ b/src/lab/planners.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 struct Seen {
-    std::map<std::string, ClassTally> tallies;
+    std::map<std::string, Tally> tallies;
     double in_time = 0, cold_peak = 0, p50 = 0, p99 = 0;
     std::size_t doubled = 0, unanswered = 0, asked = 0, attempts = 0, kills = 0;
     int worst_exit = 0;
@@ -89,12 +89,11 @@
     seen.doubled = fleet.ledger().doubled();
     seen.attempts = fleet.attempts();
     seen.kills = planners.kills();
-    ClassTally all;
+    const Tally all = load.all();
     for (const auto& [name, t] : seen.tallies) {
         seen.unanswered += t.unanswered, seen.asked += t.asked;
-        all.times.insert(all.times.end(), t.times.begin(), t.times.end());
     }
-    seen.p50 = all.percentile(0.5), seen.p99 = all.percentile(0.99);
+    seen.p50 = all.times.percentile(0.5), seen.p99 = all.times.percentile(0.99);
     return seen;
 }
 
--- /dev/null
+++ b/src/lab/results.hpp
@@ -0,0 +1,43 @@
+// Results of experiments as JSON lines, one a day played, append-only: what was played, by which build on
+// which machine, its figures, its course and its times. Read by `run` to go on, by `report` and by `compare`.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lab/histogram.hpp"
+#include "settings_file/error.hpp"
+#include "sim/scene.hpp"
+
+namespace cobaltshift::lab {
+
+struct DayResult {
+    std::string experiment;  // fingerprint of the file: days of another are not mixed with these
+    std::string name, about, engine, label, commit, machine;
+    std::size_t variant = 0;
+    std::uint64_t seed = 0;
+    sim::Millis length = 0;
+    std::string pair_base;  // the label that this variant is held against; empty: none
+    std::map<std::string, double> figures;
+    sim::Course course;  // its slots
+    Histogram times;
+    std::vector<sim::Fault> faults;
+};
+
+// One line, without its end.
+std::string line_of(const DayResult& day);
+
+struct Held {
+    std::vector<DayResult> days;
+    std::size_t whole = 0;  // bytes up to the end of the last whole line: a stop may have cut one short
+};
+// Throws SettingsError naming file and line for what is no line of results, or of another format.
+Held read_results(const std::string& file);
+
+// This build and this machine.
+std::string this_commit();
+std::string this_machine();
+
+}  // namespace cobaltshift::lab
--- a/src/lab/run_experiment.cpp
+++ b/src/lab/run_experiment.cpp
@@ -1,8 +1,6 @@
 // Plays an experiment: every variant on every seed, over all cores. Results are JSON lines, one a day played,
 // each flushed when it is done, so that a stop loses the days under way and no more; a file that is there is
 // gone on with.
-#include <sys/utsname.h>
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -11,13 +9,13 @@
 #include <iostream>
 #include <iterator>
 #include <mutex>
-#include <nlohmann/json.hpp>
-#include <set>
 #include <sstream>
 #include <thread>
 
 #include "lab/experiment.hpp"
+#include "lab/results.hpp"
 #include "lab/scenario.hpp"
+#include "lab/socket_engine.hpp"
 #include "lab/statistics.hpp"
 #include "sim/kernel.hpp"
 
@@ -25,17 +23,6 @@
 
 namespace {
 
-using nlohmann::json;
-
-// Results of another format, or of days that play otherwise, must not be mixed with ours.
-constexpr int kFormat = 1;
-
-std::string machine() {
-    utsname name{};
-    ::uname(&name);
-    return std::string(name.machine) + ", " + std::to_string(std::thread::hardware_concurrency()) + " cores";
-}
-
 // What of the file fixes a day: with another, results are of another experiment.
 std::string fingerprint(const Experiment& e) {
     std::uint64_t h = 14695981039346656037ULL;
@@ -50,31 +37,60 @@
 using Key = std::pair<std::size_t, std::uint64_t>;  // variant, seed
 using Figures = std::map<std::string, double>;
 
-// What a results file holds already. Throws SettingsError for another experiment's. A last line cut short by
-// a stop is left out, and `keep` tells how much of the file is whole.
-std::map<Key, Figures> held(const std::string& file, const std::string& print, std::size_t& keep) {
-    std::map<Key, Figures> done;
-    keep = 0;
-    std::ifstream in(file, std::ios::binary);
-    const std::string text((std::istreambuf_iterator<char>(in)), {});
-    std::size_t number = 0;
-    for (std::size_t from = 0, end; (end = text.find('\n', from)) != std::string::npos; from = end + 1) {
-        ++number;
-        const json line = json::parse(text.substr(from, end - from), nullptr, false);
-        const std::string where = file + ":" + std::to_string(number) + ": ";
-        if (!line.is_object() || !line.contains("format"))
-            throw SettingsError(where + "is no line of results");
-        if (line["format"] != kFormat || line.value("experiment", "") != print)
-            throw SettingsError(where + "is of another experiment or version; name another file");
-        try {
-            done[{line.at("variant").get<std::size_t>(), line.at("seed").get<std::uint64_t>()}] =
-                line.at("figures").get<Figures>();
-        } catch (const json::exception&) {
-            throw SettingsError(where + "lacks variant, seed or figures");
+std::vector<DayResult> play(const Experiment& e, const std::vector<Key>& together, bool sockets) {
+    const auto variants = e.variants();
+    std::vector<DayResult> all;
+    std::vector<sim::Case> days;
+    for (const auto& [variant, seed] : together) {
+        days.push_back(e.day_of(variants[variant], seed));
+        DayResult day;
+        day.name = e.name, day.about = e.about, day.engine = sockets ? "sockets" : "world";
+        day.label = e.name_of(variants[variant]);
+        if (const auto base = e.base_of(variant); base && *base != variant)
+            day.pair_base = e.name_of(variants[*base]);
+        day.commit = this_commit(), day.machine = this_machine();
+        day.variant = variant, day.seed = seed, day.length = e.day.length, day.faults = days.back().faults;
+        all.push_back(std::move(day));
+    }
+    if (sockets) {
+        const auto told = play_on_sockets(days);
+        for (std::size_t i = 0; i < told.size(); ++i) {
+            if (!told[i].finished) throw std::runtime_error("has not ended within its guard");
+            all[i].figures = told[i].figures, all[i].times = told[i].times, all[i].course = told[i].course;
         }
-        keep = end + 1;
+        return all;
     }
-    return done;
+    for (std::size_t i = 0; i < days.size(); ++i) {
+        days[i].set["course"] = 1;
+        sim::Course course;
+        all[i].figures = figures_of(days[i], &course);
+        for (const float ms : course.times) all[i].times.add(ms);
+        course.times.clear();
+        all[i].course = std::move(course);
+        all[i].figures["p50 ms"] = all[i].times.percentile(0.5);
+        all[i].figures["p99 ms"] = all[i].times.percentile(0.99);
+    }
+    return all;
+}
+
+// Why this experiment can't be played on sockets; empty: it can.
+std::string misfit(const Experiment& e, const std::string& file) {
+    const auto& measured = socket_figures();
+    for (const auto& bound : e.bounds)
+        if (bound.figure != "loss removed" &&
+            std::find(measured.begin(), measured.end(), bound.figure) == measured.end())
+            return file + ":" + std::to_string(bound.line) + ": bound.figure '" + bound.figure +
+                   "' is not measured on sockets";
+    for (const auto& variant : e.variants())
+        if (const std::string why = socket_misfit(e.day_of(variant, e.first_seed)); !why.empty())
+            return file + ": " + e.name_of(variant) + " does not fit on sockets: " + why;
+    return "";
+}
+
+std::string bar(std::size_t done, std::size_t all) {
+    constexpr std::size_t kWidth = 24;
+    const std::size_t full = all > 0 ? done * kWidth / all : kWidth;
+    return "[" + std::string(full, '#') + std::string(kWidth - full, '.') + "]";
 }
 
 }  // namespace
@@ -87,17 +103,26 @@
         return 2;
     };
     std::string print;
+    const std::string engine = what.sockets ? "sockets" : "world";
     try {
         std::ifstream in(what.file);
         if (!in) return complain(what.file + " can't be read");
         e = read_experiment(std::string(std::istreambuf_iterator<char>(in), {}), what.file);
         print = fingerprint(e);
+        if (const std::string why = what.sockets ? misfit(e, what.file) : ""; !why.empty())
+            return complain(why);
         if (!what.results.empty()) {
-            std::size_t keep = 0;
-            done = held(what.results, print, keep);
             if (std::ifstream(what.results)) {
+                const Held held = read_results(what.results);
+                for (std::size_t i = 0; i < held.days.size(); ++i) {
+                    const DayResult& day = held.days[i];
+                    if (day.experiment != print || day.engine != engine)
+                        return complain(what.results + ":" + std::to_string(i + 1) +
+                                        ": is of another experiment or version; name another file");
+                    done[{day.variant, day.seed}] = day.figures;
+                }
                 std::error_code ec;
-                std::filesystem::resize_file(what.results, keep, ec);
+                std::filesystem::resize_file(what.results, held.whole, ec);
                 if (ec) return complain(what.results + ": " + ec.message());
             }
         }
@@ -106,10 +131,18 @@
     }
     const auto variants = e.variants();
     const std::size_t seeds = what.quick ? e.quick_seeds : e.seeds;
-    std::vector<Key> todo;
-    for (std::size_t s = 0; s < seeds; ++s)  // seed by seed: a stop leaves whole pairs
+    // Jobs: what is played together. On sockets a pair runs in the same seconds, and one job at a time, as
+    // each takes what the machine has. Seed by seed: a stop leaves whole pairs.
+    std::vector<std::vector<Key>> todo;
+    std::size_t days = 0;
+    for (std::size_t s = 0; s < seeds; ++s) {
+        std::map<std::size_t, std::vector<Key>> together;
         for (std::size_t v = 0; v < variants.size(); ++v)
-            if (!done.count({v, e.first_seed + s})) todo.push_back({v, e.first_seed + s});
+            if (!done.count({v, e.first_seed + s}))
+                together[what.sockets ? e.base_of(v).value_or(v) : v].push_back({v, e.first_seed + s}),
+                    ++days;
+        for (auto& [first, keys] : together) todo.push_back(std::move(keys));
+    }
 
     std::ofstream results;
     if (!what.results.empty()) {
@@ -123,39 +156,40 @@
     const auto began = std::chrono::steady_clock::now();
     const auto work = [&] {
         for (std::size_t i; (i = next++) < todo.size();) {
-            const auto [variant, seed] = todo[i];
-            Figures figures;
+            std::vector<DayResult> ready;
             std::string error;
             try {
-                figures = figures_of(e.day_of(variants[variant], seed));
+                ready = play(e, todo[i], what.sockets);
             } catch (const std::exception& thrown) {
                 error = thrown.what();
             }
             const std::lock_guard lock(mutex);
             if (!error.empty()) {
-                failed = e.name_of(variants[variant]) + ", seed " + std::to_string(seed) + ": " + error;
+                failed = e.name_of(variants[todo[i][0].first]) + ", seed " +
+                         std::to_string(todo[i][0].second) + ": " + error;
                 next = todo.size();
                 return;
             }
-            done[{variant, seed}] = figures;
-            ++played;
-            if (results.is_open())
-                results << json{{"format", kFormat},  {"experiment", print},      {"name", e.name},
-                                {"variant", variant}, {"set", variants[variant]}, {"seed", seed},
-                                {"figures", figures}, {"machine", machine()}}
-                               .dump()
-                        << std::endl;
+            for (DayResult& day : ready) {
+                done[{day.variant, day.seed}] = day.figures;
+                ++played;
+                day.experiment = print;
+                if (results.is_open()) results << line_of(day) << std::endl;
+            }
             if (what.progress) {
                 const double seconds =
                     std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
                 const double rate = static_cast<double>(played) / std::max(0.001, seconds);
-                err << '\r' << played << " of " << todo.size() << " days, " << shown(rate, 1) << " a second, "
-                    << shown(static_cast<double>(todo.size() - played) / rate) << " s left   " << std::flush;
+                err << '\r' << bar(played, days) << ' ' << played << " of " << days << " days, "
+                    << shown(rate, 1) << " a second, " << shown(static_cast<double>(days - played) / rate)
+                    << " s left   " << std::flush;
             }
         }
     };
     std::vector<std::thread> threads;
-    const unsigned jobs = what.jobs > 0 ? what.jobs : std::max(1U, std::thread::hardware_concurrency());
+    const unsigned jobs = what.sockets    ? 1
+                          : what.jobs > 0 ? what.jobs
+                                          : std::max(1U, std::thread::hardware_concurrency());
     for (unsigned j = 0; j < jobs; ++j) threads.emplace_back(work);
     for (std::thread& thread : threads) thread.join();
     if (what.progress) err << '\n';
@@ -173,7 +207,7 @@
             sum += value;
             worst = std::max(worst, value);
         }
-        return figure.ends_with("peak") ? worst : sum;
+        return figure.ends_with("peak") || figure.ends_with(" ms") ? worst : sum;
     };
     const auto figure = [&](std::size_t v, const std::string& name) {
         const double asked = std::max(1.0, total(v, "asked"));
@@ -191,20 +225,14 @@
     // Each other value of what is paired against the first, on the same seeds and else the same variant.
     std::map<std::size_t, Interval> removed;
     if (!e.pair.empty()) {
-        double first = 0;
-        for (const auto& v : e.vary)
-            if (v.name == e.pair) first = v.values.front();
         for (std::size_t v = 0; v < variants.size(); ++v) {
-            auto base = variants[v];
-            base[e.pair] = first;
-            const auto at = std::find(variants.begin(), variants.end(), base);
-            const auto b = static_cast<std::size_t>(at - variants.begin());
+            const std::size_t b = *e.base_of(v);
             if (b == v) continue;
             std::vector<Pair> pairs;
             for (std::size_t s = 0; s < seeds; ++s)
                 pairs.push_back({done[{b, e.first_seed + s}]["loss"], done[{v, e.first_seed + s}]["loss"]});
             const Interval sure = removed[v] = part_removed(pairs);
-            result.note(e.name_of(variants[v]) + " against " + e.name_of(base) + ": " +
+            result.note(e.name_of(variants[v]) + " against " + e.name_of(variants[b]) + ": " +
                         shown(100 * sure.value, 1) + " % of the loss removed" +
                         (sure.known ? ", 95 % interval " + shown(100 * sure.low, 1) + " to " +
                                           shown(100 * sure.high, 1)
--- a/src/lab/scenarios.cpp
+++ b/src/lab/scenarios.cpp
@@ -9,8 +9,6 @@
     static const std::vector<Scenario> all = {
         {"plan-world", "500 (quick) or 20,000 days of faults in virtual time: no rule is broken", plan_world},
         {"planners", "real forwarders and planners, these killed and restarted under load", planners},
-        {"planners-gain", "two real fleets on the same arrivals and troubles, one with planners",
-         planners_gain},
         {"plan-path", "from a server's first failure to the first request spared, part by part", plan_path},
         {"planner-cost", "CPU, memory and bytes of one planner before more and more forwarders",
          planner_cost},
--- a/src/settings_file/section.hpp
+++ b/src/settings_file/section.hpp
@@ -103,6 +103,11 @@
         if (!node) throw SettingsError(file_ + ": " + name_ + "." + key + " " + what);
         fail(*node, key, what);
     }
+    int line() const { return static_cast<int>(table_.source().begin.line); }
+    bool has_table(const char* key) const {
+        const toml::node* node = table_.get(key);
+        return node && node->is_table();
+    }
     bool has(const char* key) { return find(key) != nullptr; }
     void need(const char* key) {
         if (!find(key)) throw SettingsError(file_ + ": " + name_ + "." + key + " is missing");
--- a/src/sim/models/client.cpp
+++ b/src/sim/models/client.cpp
@@ -1,7 +1,6 @@
 #include "sim/models/client.hpp"
 
-#include <algorithm>
-#include <cmath>
+#include <numeric>
 
 #include "sim/models/archive.hpp"
 #include "sim/models/forwarder.hpp"
@@ -22,12 +21,8 @@
         arrivals_.emplace(workload_, rate, scene.kernel.stream("clients/moments"),
                           scene.kernel.stream("clients/bursts"));
     if (workload_.clients > 0) clients_.emplace(workload_.clients, workload_.zipf);
-    // How unlike forwarders are: a heavy tail, cut so that none has it all.
-    const double skew = scene.day.get("skew", 1);
-    for (std::size_t f = 0; f < scene.day.count("forwarders", 12); ++f) {
-        parts_.push_back(std::min(8.0, std::pow(1 - asks_lots_.unit(), -0.5 * skew)));
-        parts_sum_ += parts_.back();
-    }
+    parts_ = unlike_parts(asks_lots_, scene.day.count("forwarders", 12), scene.day.get("skew", 1));
+    parts_sum_ = std::accumulate(parts_.begin(), parts_.end(), 0.0);
 }
 
 void Clients::start() {
--- a/src/sim/workload.cpp
+++ b/src/sim/workload.cpp
@@ -75,4 +75,11 @@
     return std::min(static_cast<std::size_t>(at - sums_.begin()), sums_.size() - 1);
 }
 
+std::vector<double> unlike_parts(Stream& lots, std::size_t n, double skew) {
+    std::vector<double> parts;
+    for (std::size_t i = 0; i < n; ++i)
+        parts.push_back(std::min(8.0, std::pow(1 - lots.unit(), -0.5 * skew)));
+    return parts;
+}
+
 }  // namespace cobaltshift::sim
--- a/src/sim/workload.hpp
+++ b/src/sim/workload.hpp
@@ -62,4 +62,8 @@
     std::vector<double> sums_;
 };
 
+// How unlike n forwarders are in their parts of the load, by `skew` from 0 (alike): a heavy tail, cut so that
+// none has it all.
+std::vector<double> unlike_parts(Stream& lots, std::size_t n, double skew);
+
 }  // namespace cobaltshift::sim
