--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -225,6 +225,11 @@
     return all;
 }
 
+bool Experiment::meant(const Bound& bound, const Variant& variant) {
+    return std::all_of(bound.where.begin(), bound.where.end(),
+                       [&](const auto& w) { return variant.at(w.first) == w.second; });
+}
+
 std::string Experiment::name_of(const Variant& variant) const {
     std::string text;
     for (const auto& [name, value] : variant) {
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -41,6 +41,7 @@
     std::vector<Bound> bounds;
 
     using Variant = std::map<std::string, double>;
+    static bool meant(const Bound& bound, const Variant& variant);
     std::vector<Variant> variants() const;
     std::string name_of(const Variant& variant) const;
     // The variant, by its place in variants(), that this one is held against: itself, where it is the first
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -8,6 +8,7 @@
 
 #include "lab/demo.hpp"
 #include "lab/experiment.hpp"
+#include "lab/report.hpp"
 #include "lab/scenario.hpp"
 #include "lab/sim_world.hpp"
 
@@ -61,6 +62,16 @@
         ->check(CLI::IsMember({"world", "sockets"}));
     ran->add_option("--jobs", experiment.jobs, "days at a time; else as many as cores")
         ->check(CLI::Range(1, 256));
+    Report page;
+    CLI::App* reported = app.add_subcommand("report", "a page of plots and tables from result files");
+    reported->add_option("RESULTS", page.files)->required();
+    reported->add_option("-o,--out", page.out, "writes the page, one HTML file, there");
+    reported->add_flag("--text", page.text, "prints the tables");
+    std::string before, after;
+    CLI::App* compared =
+        app.add_subcommand("compare", "which figures moved beyond their noise; 1 if for the worse");
+    compared->add_option("BEFORE", before)->required();
+    compared->add_option("AFTER", after)->required();
     for (const Scenario& scenario : scenarios()) options(app.add_subcommand(scenario.name, scenario.about));
     try {
         app.parse(argc, argv);
@@ -82,6 +93,11 @@
             experiment.progress = ::isatty(STDERR_FILENO) != 0;
             return run_experiment(experiment, std::cout, std::cerr);
         }
+        if (reported->parsed()) {
+            if (page.out.empty()) page.text = true;
+            return report(page, std::cout, std::cerr);
+        }
+        if (compared->parsed()) return compare(before, after, std::cout, std::cerr);
         if (replayed->parsed()) return replay(again);
         if (serve->parsed()) return up(servers, forwarders, run.seed);
         for (const Scenario& scenario : scenarios())
--- a/src/lab/results.cpp
+++ b/src/lab/results.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/utsname.h>
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <iterator>
@@ -35,8 +36,9 @@
         for (std::size_t i = 0; i < 4; ++i) day.course.slots.back()[i] = slot.at(i).get<std::uint32_t>();
     }
     for (const json& bin : line.at("times"))
-        if (!day.times.add_bin(bin.at(0).get<int>(), bin.at(1).get<double>()))
-            throw std::range_error("no such bin");
+        day.times.emplace_back(bin.at(0).get<int>(), bin.at(1).get<double>());
+    for (const json& b : line.at("bounds"))
+        day.bounds.push_back({b.at(0).get<std::string>(), b.at(1).get<bool>(), b.at(2).get<double>()});
     for (const json& f : line.at("faults"))
         day.faults.push_back({f.at(0).get<std::string>(), f.at(1).get<std::string>(), f.at(2).get<double>(),
                               f.at(3).get<double>(), 0});
@@ -53,8 +55,10 @@
               {"machine", day.machine}, {"variant", day.variant},
               {"seed", day.seed},       {"length", day.length},
               {"figures", day.figures}, {"slots", day.course.slots},
-              {"times", json::array()}, {"faults", json::array()}};
-    for (const auto& [bin, count] : day.times.sparse()) line["times"].push_back({bin, count});
+              {"times", json::array()}, {"faults", json::array()},
+              {"bounds", json::array()}};
+    for (const auto& [bin, count] : day.times) line["times"].push_back({bin, count});
+    for (const auto& b : day.bounds) line["bounds"].push_back({b.figure, b.most, b.bound});
     for (const sim::Fault& f : day.faults) line["faults"].push_back({f.kind, f.target, f.at, f.length});
     return line.dump();
 }
@@ -82,6 +86,24 @@
     return held;
 }
 
+double figure_of(const std::vector<const DayResult*>& days, const std::string& name) {
+    if (name == "in time share" || name == "loss") {
+        const double asked = figure_of(days, "asked"), good = figure_of(days, "in time");
+        const double share = asked > 0 ? good / asked : 1;
+        return name == "loss" ? 1 - share : share;
+    }
+    const bool worst = name.ends_with("peak") || name.ends_with(" ms"), mean = name.ends_with(" s");
+    double sum = 0, most = -1e300;
+    std::size_t n = 0;
+    for (const DayResult* day : days)
+        if (const auto at = day->figures.find(name); at != day->figures.end()) {
+            sum += at->second, most = std::max(most, at->second);
+            ++n;
+        }
+    if (n == 0) return std::nan("");
+    return worst ? most : mean ? sum / static_cast<double>(n) : sum;
+}
+
 std::string this_commit() { return COBALTSHIFT_COMMIT; }
 
 std::string this_machine() {
--- a/src/lab/results.hpp
+++ b/src/lab/results.hpp
@@ -21,11 +21,21 @@
     sim::Millis length = 0;
     std::string pair_base;  // the label that this variant is held against; empty: none
     std::map<std::string, double> figures;
-    sim::Course course;  // its slots
-    Histogram times;
+    sim::Course course;                         // its slots
+    std::vector<std::pair<int, double>> times;  // of those served, as Histogram::sparse() tells
     std::vector<sim::Fault> faults;
+    struct Bound {
+        std::string figure;
+        bool most;  // at most so much; else at least
+        double bound;
+    };
+    std::vector<Bound> bounds;  // of this variant
 };
 
+// A figure of several days together: peaks and times are the worst day's, shares those of all days together,
+// "removal s" a mean, the rest sums. NaN if none of them measured it.
+double figure_of(const std::vector<const DayResult*>& days, const std::string& name);
+
 // One line, without its end.
 std::string line_of(const DayResult& day);
 
--- a/src/lab/run_experiment.cpp
+++ b/src/lab/run_experiment.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -35,7 +36,6 @@
 }
 
 using Key = std::pair<std::size_t, std::uint64_t>;  // variant, seed
-using Figures = std::map<std::string, double>;
 
 std::vector<DayResult> play(const Experiment& e, const std::vector<Key>& together, bool sockets) {
     const auto variants = e.variants();
@@ -50,13 +50,19 @@
             day.pair_base = e.name_of(variants[*base]);
         day.commit = this_commit(), day.machine = this_machine();
         day.variant = variant, day.seed = seed, day.length = e.day.length, day.faults = days.back().faults;
+        for (const auto& bound : e.bounds) {
+            if (!Experiment::meant(bound, variants[variant])) continue;
+            if (bound.at_most) day.bounds.push_back({bound.figure, true, *bound.at_most});
+            if (bound.at_least) day.bounds.push_back({bound.figure, false, *bound.at_least});
+        }
         all.push_back(std::move(day));
     }
     if (sockets) {
         const auto told = play_on_sockets(days);
         for (std::size_t i = 0; i < told.size(); ++i) {
             if (!told[i].finished) throw std::runtime_error("has not ended within its guard");
-            all[i].figures = told[i].figures, all[i].times = told[i].times, all[i].course = told[i].course;
+            all[i].figures = told[i].figures, all[i].times = told[i].times.sparse(),
+            all[i].course = told[i].course;
         }
         return all;
     }
@@ -64,11 +70,13 @@
         days[i].set["course"] = 1;
         sim::Course course;
         all[i].figures = figures_of(days[i], &course);
-        for (const float ms : course.times) all[i].times.add(ms);
+        Histogram times;
+        for (const float ms : course.times) times.add(ms);
+        all[i].times = times.sparse();
         course.times.clear();
         all[i].course = std::move(course);
-        all[i].figures["p50 ms"] = all[i].times.percentile(0.5);
-        all[i].figures["p99 ms"] = all[i].times.percentile(0.99);
+        all[i].figures["p50 ms"] = times.percentile(0.5);
+        all[i].figures["p99 ms"] = times.percentile(0.99);
     }
     return all;
 }
@@ -97,7 +105,7 @@
 
 int run_experiment(const RunExperiment& what, std::ostream& out, std::ostream& err) {
     Experiment e;
-    std::map<Key, Figures> done;
+    std::map<Key, DayResult> done;
     const auto complain = [&](const std::string& text) {
         err << "cobaltshift-lab: " << text << '\n';
         return 2;
@@ -119,7 +127,7 @@
                     if (day.experiment != print || day.engine != engine)
                         return complain(what.results + ":" + std::to_string(i + 1) +
                                         ": is of another experiment or version; name another file");
-                    done[{day.variant, day.seed}] = day.figures;
+                    done[{day.variant, day.seed}] = day;
                 }
                 std::error_code ec;
                 std::filesystem::resize_file(what.results, held.whole, ec);
@@ -171,10 +179,12 @@
                 return;
             }
             for (DayResult& day : ready) {
-                done[{day.variant, day.seed}] = day.figures;
                 ++played;
                 day.experiment = print;
                 if (results.is_open()) results << line_of(day) << std::endl;
+                day.times = {}, day.course = {}, day.faults = {};  // 20,000 days need not be held
+                const Key key{day.variant, day.seed};
+                done[key] = std::move(day);
             }
             if (what.progress) {
                 const double seconds =
@@ -199,22 +209,11 @@
     Result result;
     result.columns({"variant", "days", "asked", "in time %", "late", "refused", "failed", "attempts",
                     "removal s", "cold peak", "broken"});
-    const auto total = [&](std::size_t v, const std::string& figure) {
-        // Peaks are the worst day's, shares those of all days together, the rest sums.
-        double sum = 0, worst = 0;
-        for (std::size_t s = 0; s < seeds; ++s) {
-            const double value = done[{v, e.first_seed + s}][figure];
-            sum += value;
-            worst = std::max(worst, value);
-        }
-        return figure.ends_with("peak") || figure.ends_with(" ms") ? worst : sum;
-    };
     const auto figure = [&](std::size_t v, const std::string& name) {
-        const double asked = std::max(1.0, total(v, "asked"));
-        if (name == "in time share") return total(v, "in time") / asked;
-        if (name == "loss") return 1 - total(v, "in time") / asked;
-        if (name == "removal s") return total(v, name) / static_cast<double>(seeds);
-        return total(v, name);
+        std::vector<const DayResult*> days_of;
+        for (std::size_t s = 0; s < seeds; ++s) days_of.push_back(&done[{v, e.first_seed + s}]);
+        const double value = figure_of(days_of, name);
+        return std::isnan(value) ? 0 : value;
     };
     for (std::size_t v = 0; v < variants.size(); ++v)
         result.row({e.name_of(variants[v]), std::to_string(seeds), shown(figure(v, "asked")),
@@ -230,7 +229,8 @@
             if (b == v) continue;
             std::vector<Pair> pairs;
             for (std::size_t s = 0; s < seeds; ++s)
-                pairs.push_back({done[{b, e.first_seed + s}]["loss"], done[{v, e.first_seed + s}]["loss"]});
+                pairs.push_back({done[{b, e.first_seed + s}].figures["loss"],
+                                 done[{v, e.first_seed + s}].figures["loss"]});
             const Interval sure = removed[v] = part_removed(pairs);
             result.note(e.name_of(variants[v]) + " against " + e.name_of(variants[b]) + ": " +
                         shown(100 * sure.value, 1) + " % of the loss removed" +
@@ -241,9 +241,7 @@
     }
     for (const Experiment::Bound& bound : e.bounds)
         for (std::size_t v = 0; v < variants.size(); ++v) {
-            const bool meant = std::all_of(bound.where.begin(), bound.where.end(), [&](const auto& w) {
-                return variants[v].at(w.first) == w.second;
-            });
+            const bool meant = Experiment::meant(bound, variants[v]);
             const bool paired = bound.figure == "loss removed";
             if (!meant || (paired && !removed.count(v))) continue;
             const double value = paired ? removed[v].value : figure(v, bound.figure);
