--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -5,9 +5,11 @@
 #include <CLI/CLI.hpp>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 
 #include "lab/demo.hpp"
 #include "lab/experiment.hpp"
+#include "lab/load_command.hpp"
 #include "lab/report.hpp"
 #include "lab/scenario.hpp"
 #include "lab/sim_world.hpp"
@@ -23,6 +25,56 @@
     return result.holds() ? 0 : 1;
 }
 
+// `load`: a file, or targets with the usual options.
+struct LoadCommand {
+    std::string config;
+    std::vector<std::string> targets;
+    std::vector<double> rates{100};
+    double seconds = 10;
+    std::size_t connections = 0;
+    std::uint64_t seed = 1;
+    bool verify = false;
+
+    void options(CLI::App& app) {
+        auto* urls = app.add_option("URL", targets, "http://ADDRESS:PORT/PATH; addresses in numbers");
+        app.add_option("--config", config, "a file that says all (docs/operate/lab.md)")->excludes(urls);
+        app.add_option("--rate", rates, "first tries a second; several, by commas: steps")
+            ->delimiter(',')
+            ->check(CLI::Range(0.001, cobaltshift::lab::LoadPlan::kMostRate));
+        app.add_option("--seconds", seconds, "of each step")->check(CLI::Range(0.1, 86400.0));
+        app.add_option("--connections", connections, "at a time; 0: as many as it takes")
+            ->check(CLI::Range(0, 100000));
+        app.add_option("--seed", seed, "of all that is drawn");
+        app.add_flag("--verify", verify, "a 200 must hold the target that was asked for");
+    }
+    int run(const std::function<int(const cobaltshift::lab::Result&)>& measured) const {
+        using namespace cobaltshift::lab;
+        LoadPlan plan;
+        try {
+            if (!config.empty()) {
+                std::ifstream in(config);
+                if (!in) throw cobaltshift::SettingsError(config + " can't be read");
+                plan = read_load_plan(std::string(std::istreambuf_iterator<char>(in), {}), config);
+            } else {
+                if (targets.empty()) throw cobaltshift::SettingsError("load needs a URL or --config");
+                std::string path;
+                for (const std::string& url : targets) plan.targets.push_back(target_of(url, path));
+                plan.steps.clear();
+                for (const double rate : rates) plan.steps.push_back({rate, seconds * 1000});
+                plan.options.connections = connections;
+                plan.options.seed = seed;
+                plan.options.verify = verify;
+                if (!path.empty())
+                    plan.options.classes = {{"all", ClassLoad::Effect::safe, 1, 200, 1000, path}};
+            }
+        } catch (const std::exception& error) {
+            std::cerr << "cobaltshift-lab: " << error.what() << '\n';
+            return 2;
+        }
+        return measured(play_load(plan));
+    }
+};
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -62,6 +114,10 @@
         ->check(CLI::IsMember({"world", "sockets"}));
     ran->add_option("--jobs", experiment.jobs, "days at a time; else as many as cores")
         ->check(CLI::Range(1, 256));
+    LoadCommand load;
+    CLI::App* loaded = app.add_subcommand("load", "an open load on given targets, by steps of its rate");
+    load.options(*loaded);
+    loaded->add_option("--json", json, "writes the figures to this file");
     Report page;
     CLI::App* reported = app.add_subcommand("report", "a page of plots and tables from result files");
     reported->add_option("RESULTS", page.files)->required();
@@ -97,6 +153,7 @@
             if (page.out.empty()) page.text = true;
             return report(page, std::cout, std::cerr);
         }
+        if (loaded->parsed()) return load.run([&](const Result& result) { return measured(result, json); });
         if (compared->parsed()) return compare(before, after, std::cout, std::cerr);
         if (replayed->parsed()) return replay(again);
         if (serve->parsed()) return up(servers, forwarders, run.seed);
