--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <iterator>
 
+#include "lab/cost.hpp"
 #include "lab/demo.hpp"
 #include "lab/experiment.hpp"
 #include "lab/load_command.hpp"
@@ -128,6 +129,10 @@
         app.add_subcommand("compare", "which figures moved beyond their noise; 1 if for the worse");
     compared->add_option("BEFORE", before)->required();
     compared->add_option("AFTER", after)->required();
+    std::size_t requests = 1000;
+    CLI::App* scripted =
+        app.add_subcommand("cost-script", "requests one after another in one process, for callgrind");
+    scripted->add_option("REQUESTS", requests)->check(CLI::Range(1, 10000000));
     for (const Scenario& scenario : scenarios()) options(app.add_subcommand(scenario.name, scenario.about));
     try {
         app.parse(argc, argv);
@@ -154,6 +159,7 @@
             return report(page, std::cout, std::cerr);
         }
         if (loaded->parsed()) return load.run([&](const Result& result) { return measured(result, json); });
+        if (scripted->parsed()) return cost_script(requests);
         if (compared->parsed()) return compare(before, after, std::cout, std::cerr);
         if (replayed->parsed()) return replay(again);
         if (serve->parsed()) return up(servers, forwarders, run.seed);
--- a/src/lab/scenarios.cpp
+++ b/src/lab/scenarios.cpp
@@ -1,4 +1,5 @@
 // The table of scenarios. Each is a command of cobaltshift-lab under its name.
+#include "lab/cost.hpp"
 #include "lab/planners.hpp"
 #include "lab/scenario.hpp"
 #include "lab/sim_world.hpp"
@@ -10,6 +11,7 @@
         {"plan-world", "500 (quick) or 20,000 days of faults in virtual time: no rule is broken", plan_world},
         {"planners", "real forwarders and planners, these killed and restarted under load", planners},
         {"plan-path", "from a server's first failure to the first request spared, part by part", plan_path},
+        {"cost", "what a request costs one forwarder: straight against through, in one run", cost},
         {"planner-cost", "CPU, memory and bytes of one planner before more and more forwarders",
          planner_cost},
     };
--- a/src/sim/checkers/plan.cpp
+++ b/src/sim/checkers/plan.cpp
@@ -44,10 +44,12 @@
     }
     void start() override {
         Millis quiet = 0;
-        for (const Fault& fault : scene_.day.faults)
+        for (const Fault& fault : scene_.day.faults) {
+            if (fault.kind == "lossy" || fault.kind == "lying") honest_ = false;
             if (fault.kind == "planner-down" || fault.kind == "lossy" || fault.kind == "split" ||
                 fault.kind == "lying" || fault.kind == "restart")
                 quiet = std::max(quiet, fault.at + fault.length);
+        }
         if (planners_ == 0) return;
         const Millis first = quiet + 2 * kReportEvery;
         scene_.kernel.at(first, [this] { agreed(); });
@@ -82,6 +84,14 @@
         if (c.seen < one.highest)
             scene_.broken(kName, name(c.forwarder) + " went back to an older plan", name(c.forwarder));
         one.highest = std::max(one.highest, c.seen);
+        // Planners say nothing that forwarders must refuse, unless they lie or the way bends what they say.
+        if (c.nonsense && honest_)
+            scene_.broken(kName, name(c.forwarder) + " was sent a plan that makes no sense",
+                          name(c.forwarder));
+        // Only a newer plan may end one that is alive: an answer that was doubled or late must not.
+        if (c.had && !c.has && c.seen == c.before)
+            scene_.broken(kName, name(c.forwarder) + " lost its live plan to an answer of the same identity",
+                          name(c.forwarder));
         if (!c.newest) return;
         one.out = false;
         const auto due = lagging_.find({c.forwarder, c.planner});
@@ -162,6 +172,7 @@
     std::map<Node, Change> current_;
     std::map<Pair, Change> lagging_;
     Millis alive_at_ = 0;
+    bool honest_ = true;
 };
 
 const Registered kChecker = Registered::checker("plan", [](Scene& scene) { scene.add<PlanRules>(scene); });
--- a/src/sim/models/forwarder.cpp
+++ b/src/sim/models/forwarder.cpp
@@ -247,14 +247,19 @@
     std::string why;
     auto heard = plan::decode_plan(bytes, why);
     const bool newest = desks_[planner].question == question;
-    bool taken = false;
+    bool taken = false, nonsense = false;
+    const bool had = follower_->holds(planner, scene_.kernel.now());
+    const plan::PlanId before = follower_->seen()[planner];
     if (heard && heard->planner == planner) {
         const auto how = follower_->take(scene_.kernel.now(), asked_at, std::move(*heard));
         taken = how == plan::Follower::Taken::taken || how == plan::Follower::Taken::renewed;
+        nonsense = how == plan::Follower::Taken::nonsense;
         guide();
     }
     (taken ? taken_ : refused_) += 1;
-    scene_.bus.tell(PlanCame{number_, planner, question, newest, taken, follower_->seen()[planner]});
+    scene_.bus.tell(PlanCame{number_, planner, question, newest, taken, had,
+                             follower_->holds(planner, scene_.kernel.now()), before,
+                             follower_->seen()[planner], nonsense});
     if (!newest) return;
     if (taken) return ask(planner);
     scene_.kernel.after(kRefusedPause * (0.5 + lots_.unit()), [this, planner, question, life = life_] {
--- a/src/sim/plan_facts.hpp
+++ b/src/sim/plan_facts.hpp
@@ -51,7 +51,10 @@
     std::uint64_t question;
     bool newest;  // of that planner's questions
     bool taken;
-    plan::PlanId seen;  // afterwards
+    bool had, has;          // a live plan of this planner, before and after
+    plan::PlanId before;    // seen
+    plan::PlanId seen;      // afterwards
+    bool nonsense = false;  // read, and no plan that could be meant
     std::string text() const {
         return "forwarder " + std::to_string(forwarder) + (taken ? " takes" : " refuses") +
                " the answer to question " + std::to_string(question) + " of planner " +
--- a/src/sim/shrink.cpp
+++ b/src/sim/shrink.cpp
@@ -76,6 +76,13 @@
                 for (Fault& f : moved.faults)
                     if (next > 0 && of(what, f)) f.target = std::to_string(std::stoul(f.target) % next);
                 if (take(without) || take(moved)) break;
+                if (what ==
+                    "servers") {  // load is a share of what they can do: with as many requests as before
+                    const double load =
+                        best_.get("load", 0.5) * static_cast<double>(now) / static_cast<double>(next);
+                    without.set["load"] = moved.set["load"] = load;
+                    if (take(without) || take(moved)) break;
+                }
                 next = next + (now - next + 1) / 2;
             }
             if (next >= now) return smaller;
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -328,8 +328,12 @@
          }},
         {"plan",
          [](Scene& s) {
-             s.bus.tell(PlanCame{0, 0, 1, true, true, {3, 2}});
-             s.bus.tell(PlanCame{0, 0, 2, true, true, {3, 1}});
+             s.bus.tell(PlanCame{0, 0, 1, false, true, true, false, {3, 2}, {3, 2}});
+         }},
+        {"plan",
+         [](Scene& s) {
+             s.bus.tell(PlanCame{0, 0, 1, true, true, false, true, {}, {3, 2}});
+             s.bus.tell(PlanCame{0, 0, 2, true, true, true, true, {3, 2}, {3, 1}});
          }},
     };
     int row = 0;
@@ -485,6 +489,24 @@
         {"lying", [](Troubles& t, Case&) { t.liars = 1; }},
         {"all lying", [](Troubles& t, Case&) { t.liars = 3; }},
         {"restarts", [](Troubles& t, Case&) { t.restarts = true; }},
+        // Servers leave the list under those removed: what is left must not be removed by half.
+        {"shrinking",
+         [](Troubles& t, Case& day) {
+             t.drains = false, t.crash_part = t.error_part = t.pause_part = 0;
+             for (const char* server : {"0", "1", "2", "3"})
+                 day.faults.push_back({"errors", server, 3000, 11000, 0.95});
+             for (const char* server : {"4", "5", "6", "7", "8"})
+                 day.faults.push_back({"crash", server, 7000, 6000, 0});
+         }},
+        // Planners that come and go faster than their grants end, while servers are cold.
+        {"flapping",
+         [](Troubles& t, Case& day) {
+             t.drains = false;
+             for (Millis at = 3000; at < 13000; at += 1200)
+                 for (const char* planner : {"0", "1", "2"})
+                     day.faults.push_back(
+                         {"planner-down", planner, at + 130 * static_cast<double>(planner[0] - '0'), 60, 0});
+         }},
     };
     for (const Row& row : table)
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
