--- a/src/lab/cost.cpp
+++ b/src/lab/cost.cpp
@@ -336,6 +336,19 @@
     return result;
 }
 
+Result cost_instructions(const Run&) {
+    // GCC 12, Release (docs/measured/cost.md). Repeats within 0.5 %. Raise it only with the reason written
+    // there.
+    constexpr double kRecorded = 56200, kAllowed = 1.03;
+    const double counted = instructions();
+    Result result;
+    result.columns({"instructions a request", "recorded", "ratio"});
+    result.row({shown(counted), shown(kRecorded), shown(counted / kRecorded, 4)});
+    result.at_least("instructions counted (valgrind)", counted, 1);
+    result.at_most("instructions a request over those recorded", counted / kRecorded, kAllowed);
+    return result;
+}
+
 int cost_script(std::size_t requests) {
     asio::io_context io(1);
     BareServer server(io);
--- a/src/lab/cost.hpp
+++ b/src/lab/cost.hpp
@@ -8,6 +8,8 @@
 namespace cobaltshift::lab {
 
 Result cost(const Run& run);
+// Instructions a request against what docs/measured/cost.md records, with a bound: for CI.
+Result cost_instructions(const Run& run);
 // So many requests, one after another, through a sidecar in this process and thread, and no more: for
 // callgrind, whose count of instructions repeats. Exit code 0, or 1 if one was not served.
 int cost_script(std::size_t requests);
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -129,6 +129,10 @@
         app.add_subcommand("compare", "which figures moved beyond their noise; 1 if for the worse");
     compared->add_option("BEFORE", before)->required();
     compared->add_option("AFTER", after)->required();
+    std::string folder;
+    CLI::App* recorded =
+        app.add_subcommand("digests", "plays the kept days of a folder and records their digests");
+    recorded->add_option("FOLDER", folder)->required();
     std::size_t requests = 1000;
     CLI::App* scripted =
         app.add_subcommand("cost-script", "requests one after another in one process, for callgrind");
@@ -159,6 +163,7 @@
             return report(page, std::cout, std::cerr);
         }
         if (loaded->parsed()) return load.run([&](const Result& result) { return measured(result, json); });
+        if (recorded->parsed()) return digests(folder);
         if (scripted->parsed()) return cost_script(requests);
         if (compared->parsed()) return compare(before, after, std::cout, std::cerr);
         if (replayed->parsed()) return replay(again);
--- a/src/lab/scenarios.cpp
+++ b/src/lab/scenarios.cpp
@@ -12,6 +12,7 @@
         {"planners", "real forwarders and planners, these killed and restarted under load", planners},
         {"plan-path", "from a server's first failure to the first request spared, part by part", plan_path},
         {"cost", "what a request costs one forwarder: straight against through, in one run", cost},
+        {"cost-instructions", "instructions a request against those recorded (callgrind)", cost_instructions},
         {"planner-cost", "CPU, memory and bytes of one planner before more and more forwarders",
          planner_cost},
     };
--- a/src/lab/sim_world.cpp
+++ b/src/lab/sim_world.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <sstream>
 #include <thread>
 
 #include "sim/days.hpp"
@@ -72,6 +74,49 @@
     return result;
 }
 
+int digests(const std::string& folder) {
+    namespace fs = std::filesystem;
+    std::map<std::string, std::string> files;
+    const auto played = [](const sim::Case& day, const std::string& name) {
+        const sim::Played p = sim::play(day);
+        for (const sim::Finding& f : p.findings)
+            std::cerr << "cobaltshift-lab: " << name << " breaks a rule: " << f.rule << ": " << f.what
+                      << '\n';
+        return p;
+    };
+    bool broken = false;
+    try {
+        for (const auto& entry : fs::directory_iterator(folder)) {
+            if (entry.path().extension() != ".case") continue;
+            std::ifstream in(entry.path());
+            const std::string text((std::istreambuf_iterator<char>(in)), {});
+            const sim::Played p = played(sim::case_from(text), entry.path().filename());
+            broken = broken || p.broken > 0;
+            std::string kept;
+            std::istringstream lines(text);
+            for (std::string line; std::getline(lines, line);)
+                if (!line.starts_with("# digest ")) kept += line + "\n";
+            files[entry.path()] = kept + "# digest " + std::to_string(p.digest) + "\n";
+        }
+        std::string& drawn = files[(fs::path(folder) / "drawn.digests").string()];
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            const sim::Played p = played(sim::drawn_day(seed), "seed " + std::to_string(seed));
+            broken = broken || p.broken > 0;
+            drawn += std::to_string(seed) + " " + std::to_string(p.digest) + "\n";
+        }
+    } catch (const std::exception& error) {
+        std::cerr << "cobaltshift-lab: " << error.what() << '\n';
+        return 2;
+    }
+    if (broken) return 1;
+    for (const auto& [name, text] : files)
+        if (!(std::ofstream(name) << text)) {
+            std::cerr << "cobaltshift-lab: " << name << " can't be written\n";
+            return 2;
+        }
+    return 0;
+}
+
 int replay(const Replay& what) {
     sim::Case day;
     if (what.file.empty()) {
--- a/src/lab/sim_world.hpp
+++ b/src/lab/sim_world.hpp
@@ -16,5 +16,9 @@
     bool all = false, shorten = false;
 };
 int replay(const Replay& what);
+// Plays every *.case of this folder and the first drawn days, and writes what they end with there
+// (tests/cases/README.md). Exit code: 0 written, 1 a rule is broken and nothing is written, 2 a file can't be
+// used.
+int digests(const std::string& folder);
 
 }  // namespace cobaltshift::lab
--- a/src/sim/models/planner.cpp
+++ b/src/sim/models/planner.cpp
@@ -58,6 +58,7 @@
     scene_.bus.tell(PlannerTurned{number_, false, core_->id()});
     core_.reset();
     pending_.clear();
+    known_.clear();
     early_set_ = false;
     ++life_;
 }
@@ -84,7 +85,15 @@
     });
 }
 
+void PlannerDesk::knows() {
+    auto removed = core_->removed_lives();
+    if (removed == known_) return;
+    known_ = std::move(removed);
+    scene_.bus.tell(PlannerKnows{number_, known_});
+}
+
 void PlannerDesk::published() {
+    knows();
     scene_.bus.tell(PlanChanged{number_, core_->id()});
     keep();
     std::vector<Pending> pending;
@@ -97,6 +106,7 @@
     const auto heard = plan::decode_report(bytes, why);
     if (!core_ || !heard) return {};
     const auto taken = core_->report(clock(), *heard);
+    knows();
     turned();
     return taken;
 }
--- a/src/sim/models/planner.hpp
+++ b/src/sim/models/planner.hpp
@@ -47,6 +47,7 @@
     void tick(std::uint64_t life);
     void turned();
     void published();
+    void knows();  // tells the bus whom it removes, where that has changed
     void answer(const Pending& one);
     void lie(plan::Plan& said);
     void keep();
@@ -62,6 +63,7 @@
     std::uint64_t life_ = 0;
     std::map<kelplb::ServerId, kelplb::ServerInfo> list_;
     std::vector<Pending> pending_;
+    std::vector<plan::Life> known_;
     bool early_set_ = false, lying_ = false;
     Millis lag_ = 0;
 };
--- a/src/sim/plan_facts.hpp
+++ b/src/sim/plan_facts.hpp
@@ -23,6 +23,15 @@
     plan::PlanId id;
     std::string text() const { return "planner " + std::to_string(planner) + " has plan " + name_of(id); }
 };
+struct PlannerKnows {
+    Node planner;
+    std::vector<plan::Life> removed;
+    std::string text() const {
+        std::string text = "planner " + std::to_string(planner) + " removes";
+        for (const plan::Life& life : removed) text += " server " + std::to_string(life.id);
+        return removed.empty() ? text + " none" : text;
+    }
+};
 struct PlanAsked {
     Node forwarder, planner;
     std::uint64_t question;
--- a/src/sim/shrink.cpp
+++ b/src/sim/shrink.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::uint64_t kOtherSeeds = 12;
+
 class Search {
 public:
     Search(Case day, const std::function<bool(const Case&)>& breaks, std::size_t most)
@@ -75,14 +77,7 @@
                               [&](const Fault& f) { return of(what, f) && std::stoul(f.target) >= next; });
                 for (Fault& f : moved.faults)
                     if (next > 0 && of(what, f)) f.target = std::to_string(std::stoul(f.target) % next);
-                if (take(without) || take(moved)) break;
-                if (what ==
-                    "servers") {  // load is a share of what they can do: with as many requests as before
-                    const double load =
-                        best_.get("load", 0.5) * static_cast<double>(now) / static_cast<double>(next);
-                    without.set["load"] = moved.set["load"] = load;
-                    if (take(without) || take(moved)) break;
-                }
+                if (take(without) || take(moved) || otherwise_drawn(what, now, next, without, moved)) break;
                 next = next + (now - next + 1) / 2;
             }
             if (next >= now) return smaller;
@@ -91,6 +86,25 @@
         }
         return smaller;
     }
+    // What breaks by a chance that the smaller day does not have: with as many requests as before (load is a
+    // share of what the servers can do), and with other seeds.
+    bool otherwise_drawn(const std::string& what, std::size_t now, std::size_t next, Case without,
+                         Case moved) {
+        if (what == "servers") {
+            const double load = best_.get("load", 0.5) * static_cast<double>(now) / static_cast<double>(next);
+            without.set["load"] = moved.set["load"] = load;
+            if (take(without) || take(moved)) return true;
+            Case one_whole = without;  // that nothing befalls: the others may need it
+            std::erase_if(one_whole.faults,
+                          [&](const Fault& f) { return of(what, f) && std::stoul(f.target) + 1 >= next; });
+            if (take(one_whole)) return true;
+        }
+        for (std::uint64_t seed = 1; seed <= kOtherSeeds; ++seed) {
+            without.seed = moved.seed = seed;
+            if (take(without) || (moved.faults != without.faults && take(moved))) return true;
+        }
+        return false;
+    }
     bool shorter() {
         bool smaller = false;
         for (double part = 0.5; part < 0.95;) {
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <set>
 
 #include "sim/days.hpp"
@@ -313,6 +316,19 @@
          [](Scene& s) {
              for (int i = 0; i < 20; ++i) s.bus.tell(Received{1, 50, 0.3});
          }},
+        {"prompt",
+         [](Scene& s) {
+             s.bus.tell(PlannerKnows{0, {{1, 5}}}), at(s, 101), s.bus.tell(PlanChanged{0, {1, 2}});
+         }},
+        {"prompt",
+         [](Scene& s) {
+             s.bus.tell(PlannerKnows{0, {{1, 5}}}), at(s, 101);
+         }},
+        {"",  // told in time; taken back before it was told
+         [](Scene& s) {
+             s.bus.tell(PlannerKnows{0, {{1, 5}}}), at(s, 99), s.bus.tell(PlanChanged{0, {1, 2}});
+             s.bus.tell(PlannerKnows{1, {{1, 5}}}), s.bus.tell(PlannerKnows{1, {}}), at(s, 500);
+         }},
         {"leases",
          [](Scene& s) {
              s.bus.tell(PlanLeft{0, 0, 1, {1, 1}, {{{1, 5}, 6, 10}}, 5000}), at(s, 4999);
@@ -546,6 +562,33 @@
     EXPECT_GT(first.figures.at("asked"), 1000);
 }
 
+// ---- Kept days: cases that planted defects were shrunk to, and drawn days, with the digest each must end
+// with ----
+
+// `# digest N` in a case's file, lines `SEED DIGEST` in drawn.digests. A change of what is modelled or
+// decided moves them: after it, see that every rule holds and record them anew (tests/cases/README.md).
+TEST(Kept, DaysHoldAndEndWithTheirDigestOnEveryMachineAndCompiler) {
+    std::size_t cases = 0;
+    for (const auto& entry : std::filesystem::directory_iterator(COBALTSHIFT_CASES)) {
+        if (entry.path().extension() != ".case") continue;
+        ++cases;
+        std::ifstream in(entry.path());
+        const std::string text((std::istreambuf_iterator<char>(in)), {}), name = entry.path().filename();
+        const Played played = play(case_from(text));
+        for (const Finding& f : played.findings) ADD_FAILURE() << name << ": " << f.rule << ": " << f.what;
+        const auto at = text.find("# digest ");
+        ASSERT_NE(at, std::string::npos) << name;
+        EXPECT_EQ(played.digest, std::strtoull(text.c_str() + at + 9, nullptr, 10)) << name;
+        EXPECT_LE(case_from(text).count("forwarders", 99), 2U) << name;
+    }
+    EXPECT_GE(cases, 3U);
+    std::ifstream in(std::string(COBALTSHIFT_CASES) + "/drawn.digests");
+    std::size_t days = 0;
+    for (std::uint64_t seed, digest; in >> seed >> digest; ++days)
+        EXPECT_EQ(play(drawn_day(seed)).digest, digest) << "seed " << seed;
+    EXPECT_GE(days, 5U);
+}
+
 // Nobody answers for most of the day: each request still has its end, and nothing piles up.
 TEST(Days, ServersThatNeverAnswerCostRequestsButNoRuleAndNoMemory) {
     Case day;
