--- a/src/lab/child.cpp
+++ b/src/lab/child.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -43,6 +44,7 @@
     argv.push_back(nullptr), envp.push_back(nullptr);
     pid_ = ::fork();
     if (pid_ == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a lab that is killed leaves no fleet behind
         ::dup2(ends[1], STDERR_FILENO);
         ::close_range(STDERR_FILENO + 1, ~0U, 0);  // a stand-in's socket must not live on in it
         ::execve(argv[0], argv.data(), envp.data());
--- a/src/lab/cost.cpp
+++ b/src/lab/cost.cpp
@@ -199,6 +199,25 @@
     const tcp::endpoint front = heard.get();
     Loop::pin(child->pid(), 0);
 
+    // Memory of a connection that is kept and says nothing; first, before others leave memory to be used
+    // again.
+    const double resident = child->resident_mb();
+    std::vector<std::unique_ptr<tcp::socket>> idle;
+    for (std::size_t i = 0; i < kIdle; ++i) {
+        idle.push_back(std::make_unique<tcp::socket>(outside.io));
+        error_code ec;
+        idle.back()->connect(front, ec);
+        if (ec) break;
+        const std::string one = kRequest;
+        asio::write(*idle.back(), asio::buffer(one), ec);
+        std::array<char, 1024> answer;
+        if (!ec) idle.back()->read_some(asio::buffer(answer), ec);
+        if (ec) break;
+    }
+    const double held = child->resident_mb() - resident;
+    const std::size_t kept = idle.size();
+    idle.clear();
+
     // 1. Requests a second and CPU a request.
     struct Way {
         std::unique_ptr<BareClients> clients;
@@ -272,24 +291,6 @@
             lost += t.asked - t.in_time - t.late;
         }
 
-    // 4. Memory of a connection that is kept and says nothing.
-    const double resident = child->resident_mb();
-    std::vector<std::unique_ptr<tcp::socket>> idle;
-    for (std::size_t i = 0; i < kIdle; ++i) {
-        idle.push_back(std::make_unique<tcp::socket>(outside.io));
-        error_code ec;
-        idle.back()->connect(front, ec);
-        if (ec) break;
-        const std::string one = kRequest;
-        asio::write(*idle.back(), asio::buffer(one), ec);
-        std::array<char, 1024> answer;
-        if (!ec) idle.back()->read_some(asio::buffer(answer), ec);
-        if (ec) break;
-    }
-    const double held = child->resident_mb() - resident;
-    const std::size_t kept = idle.size();
-    idle.clear();
-
     child->signal(SIGTERM);
     const int exit_code = child->wait();
     const double counted = instructions();
--- a/tests/packages.sh
+++ b/tests/packages.sh
@@ -15,7 +15,12 @@
 want /usr/include/pcg_random.hpp libpcg-cpp-dev
 want /usr/include/xxhash.h libxxhash-dev
 case "${1:-build}" in test | check) want /usr/include/gtest/gtest.h libgtest-dev ;; esac
-case "${1:-build}" in check) want clang-format-14 clang-format-14 ;; esac
+case "${1:-build}" in check)
+    want clang-format-14 clang-format-14
+    want clang++-14 clang-14
+    want valgrind valgrind
+    ;;
+esac
 [ ${#need[@]} -gt 0 ] || exit 0
 as_root=()
 [ "$(id -u)" = 0 ] || as_root=(sudo)
