--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -190,12 +190,13 @@
             if (way == e.ways.end()) bound.wrong("way", "is a way that is never played");
             b.where["way"] = static_cast<double>(way - e.ways.begin());
         }
-        for (const auto& [name, value] : b.where) {
+        for (const auto& given : b.where) {
+            const std::string& name = given.first;
             if (name == "way") continue;
             const auto varied =
                 std::find_if(e.vary.begin(), e.vary.end(), [&](const auto& v) { return v.name == name; });
             if (varied == e.vary.end() ||
-                std::find(varied->values.begin(), varied->values.end(), value) == varied->values.end())
+                std::find(varied->values.begin(), varied->values.end(), given.second) == varied->values.end())
                 bound.wrong("where", "is a variant that is never played");
         }
         double amount = 0;
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -8,9 +8,9 @@
 git ls-files -z CMakeLists.txt src include tests deploy experiments | xargs -0 cp --parents -t "$work"
 cmake -S "$work" -B "$work/build" -DCMAKE_BUILD_TYPE=Release >/dev/null
 survivors=0
-targets=(cobaltshift_core_tests cobaltshift_sim_tests kelplb_tests)
+targets=(cobaltshift_core_tests cobaltshift_world_tests cobaltshift_sim_tests kelplb_tests)
 world=
-if [ "${1:-}" = --world ]; then world=1; targets=(cobaltshift_sim_tests); shift; fi
+if [ "${1:-}" = --world ]; then world=1; targets=(cobaltshift_world_tests); shift; fi
 failing() {  # the tests that fail, in a line
     for tests in "${targets[@]}"; do "$work/build/tests/$tests" --gtest_brief=1 2>&1 || true; done |
         sed -n 's/^\[  FAILED  \] \([A-Za-z]*\.[A-Za-z]*\) (.*/\1/p' | sort -u | tr '\n' ' '
