Count a load's connections where they can outlive it: a stop touched freed memory

Found by reading the change again: a connection counted itself down in the load that made it, while the loop may hold it in a handler for longer, as it does after SIGINT. The count is shared now. The test is red (heap-use-after-free) under AddressSanitizer without the change.

--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -19,15 +19,15 @@
     times.merge(other.times), lags.merge(other.lags);
 }
 
-// A connection, counted while it lives.
+// A connection, counted while it lives: the loop may hold one in a handler for longer than there is a load.
 struct Load::Link {
-    Link(asio::io_context& io, Load& load) : socket(io), of(load) {
-        of.links_peak_ = std::max(of.links_peak_, ++of.links_);
+    Link(asio::io_context& io, std::shared_ptr<Links> among) : socket(io), counted(std::move(among)) {
+        counted->most = std::max(counted->most, ++counted->now);
     }
-    ~Link() { --of.links_; }
+    ~Link() { --counted->now; }
     tcp::socket socket;
     beast::flat_buffer in;
-    Load& of;
+    std::shared_ptr<Links> counted;
 };
 
 // A first try with its retries; on one connection at a time.
@@ -160,7 +160,7 @@
         idle.pop_back();
         return send(ask);
     }
-    if (options_.connections > 0 && links_ >= options_.connections && !drop_idle())
+    if (options_.connections > 0 && links_->now >= options_.connections && !drop_idle())
         return waiting_.push_back(ask);
     connect(ask);
 }
@@ -177,7 +177,7 @@
 
 // What waits for a connection, now that one more may be had.
 void Load::serve_waiting() {
-    while (!waiting_.empty() && (links_ < options_.connections || drop_idle())) {
+    while (!waiting_.empty() && (links_->now < options_.connections || drop_idle())) {
         const AskPtr ask = waiting_.front();
         waiting_.pop_front();
         if (!ask->over) attempt(ask);
@@ -185,7 +185,7 @@
 }
 
 void Load::connect(const AskPtr& ask) {
-    ask->link = std::make_shared<Link>(io_, *this);
+    ask->link = std::make_shared<Link>(io_, links_);
     ask->link->socket.async_connect(*fronts_[ask->front],
                                     [this, ask, number = ask->number, link = ask->link](error_code ec) {
                                         if (ask->number != number) return;
--- a/src/lab/load.hpp
+++ b/src/lab/load.hpp
@@ -88,7 +88,7 @@
     bool stopped_early() const { return stopped_early_; }
     // As the world keeps it: what became of what was asked in each half second.
     const sim::Course& course() const { return course_; }
-    std::size_t connections_peak() const { return links_peak_; }
+    std::size_t connections_peak() const { return links_->most; }
     // Worth served in time over worth asked, by first tries.
     double in_time() const;
 
@@ -115,7 +115,10 @@
     std::vector<std::optional<tcp::endpoint>> fronts_;
     std::map<std::size_t, std::deque<std::shared_ptr<Link>>> idle_;
     std::deque<AskPtr> waiting_;  // for a connection
-    std::size_t links_ = 0, links_peak_ = 0;
+    struct Links {
+        std::size_t now = 0, most = 0;
+    };
+    std::shared_ptr<Links> links_ = std::make_shared<Links>();
     asio::steady_timer next_;
     std::vector<Step> steps_;
     std::size_t step_ = 0;
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -71,6 +71,32 @@
     EXPECT_NE(result.text().find("connections at a time, most: 4"), std::string::npos) << result.text();
 }
 
+// Stopped by a signal: the loop still holds what was out when the load has gone.
+TEST(LoadTool, EndsBeforeItsLoopWithRequestsOut) {
+    std::mutex mutex;
+    std::condition_variable over;
+    bool done = false;
+    Acceptor target([&](Wire&) {
+        std::unique_lock lock(mutex);
+        over.wait(lock, [&] { return done; });
+    });
+    {
+        asio::io_context io(1);
+        const Clock clock;
+        // On the heap, where a sanitizer sees what touches it afterwards.
+        const auto load = std::make_unique<Load>(io, clock, against(target.at, 1000, 60000).options);
+        load->front(0, target.at);
+        load->run({{1000, 60000}});
+        while (load->all().tries < 5) io.run_one();
+        EXPECT_GE(load->connections_peak(), 5U);
+    }
+    {
+        std::lock_guard lock(mutex);
+        done = true;
+    }
+    over.notify_all();
+}
+
 TEST(LoadTool, ATargetThatIsNotThereAndAStepThatLosesTooMuchEndsIt) {
     asio::io_context io;
     tcp::acceptor closed(io, {asio::ip::make_address("127.0.0.1"), 0});
