Resume an asked list by its version; keep few connections where dear; probe by fee

Ruled out: full tables (75 to 300 of 2,500), retry budgets.

Change: a service that is asked is asked for what came since the version held, also after a failure; the wait doubles up to 2 s. Where a handshake costs over twice a crossing, a light sidecar keeps up to eight connections and draws there first. Two probes go out only for less than the bad answer they spare. Tests: Watch.AnAskedService..., Fleet.Where ConnectionsAreDear..., Race.ProbesThatCost...

--- a/include/kelplb/balancer.hpp
+++ b/include/kelplb/balancer.hpp
@@ -43,6 +43,8 @@
 struct Fees {
     double cross_zone = 0;  // for each attempt that leaves the zone
     double peer = 0;        // for a message of 256 bytes to one peer, a request
+    double probe = 0;       // for a probe, a request
+    double handshake = 0;   // for a new connection, a request
 };
 
 // Whose requests they are, and what all sidecars together owe it.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -55,7 +55,9 @@
 constexpr Millis kTellEvery = 50, kLastMoment = 10, kTookMemory = 10000;
 constexpr double kTellFee = 0.002;                     // of the result, for telling the others what is out
 constexpr double kLeastShare = 0.25, kMostRate = 1e6;  // of guidance: less or more is not followed
-constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
+constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 2 of it
+constexpr Millis kIdleFor = 8000;      // a connection is taken to be open so long after its last answer
+constexpr std::size_t kMostIdle = 8;   // servers to which a light sidecar keeps one
 
 bool proves_never_ran(Outcome o) {
     return o == Outcome::saturated || o == Outcome::refused_connection || o == Outcome::superseded;
@@ -70,6 +72,8 @@
     ServerInfo info;
     bool listed = true;
     int outstanding = 0;
+    int idle = 0;  // connections open and unused, as far as we know
+    Millis idle_at = 0;
     Standing standing = Standing::live;
     std::uint32_t window = 0;  // a bit for each of the last outcomes, set for success
     int filled = 0;            // of them
@@ -275,7 +279,7 @@
         if (list.kind == ListKind::failed) {
             // The list is one service for all: come back later and not in step with the others.
             set_timer(now + resubscribe * (0.5 + random.unit()), std::nullopt);
-            resubscribe = std::min(resubscribe * 2, kResubscribe * 8);
+            resubscribe = std::min(resubscribe * 2, kResubscribe * 2);
             return;
         }
         if (list.kind != ListKind::saved) resubscribe = kResubscribe;
@@ -455,11 +459,18 @@
         if (live.empty()) return nullptr;
         keep_promising(live);
         Server* first = draw(live, nullptr);
+        bool opened = false;
+        if (keeps_idle() && is_light()) {
+            std::vector<Server*> open;
+            for (Server* s : live)
+                if (has_idle(*s)) open.push_back(s);
+            if (!open.empty()) first = draw(open, nullptr), opened = true;
+        }
         // Where crossing zones costs and the pool is not crowded, one of the two is of our own zone. It wins
         // ties, and with one request more where our part of the fee exceeds the chance of a late answer: one
         // more from each of many sidecars is a queue.
         bool near_first = false;
-        if (settings.fees.cross_zone > 0 && settings.my_zone && crowding <= kCrowded) {
+        if (!opened && settings.fees.cross_zone > 0 && settings.my_zone && crowding <= kCrowded) {
             std::vector<Server*> near;
             for (Server* s : live)
                 if (s->info.zone == *settings.my_zone) near.push_back(s);
@@ -468,8 +479,9 @@
         if (live.size() == 1) return first;
         Server* second = draw(live, first);
         const Server &a = *first, &b = *second;
-        const bool nearer = near_first && b.info.zone != *settings.my_zone;
-        const int grace = nearer && our_part() * settings.fees.cross_zone > std::exp(-1 / crowding) ? 1 : 0;
+        const bool nearer = opened || (near_first && b.info.zone != *settings.my_zone);
+        const int grace =
+            nearer && !opened && our_part() * settings.fees.cross_zone > std::exp(-1 / crowding) ? 1 : 0;
         const double doubt = suspicion(a) - suspicion(b);
         const double elsewhere = guided() ? a.advice.elsewhere - b.advice.elsewhere : 0;
         if (a.outstanding == 0 && b.outstanding == 0 && std::abs(doubt) < 1 && should_ask(r)) {
@@ -522,7 +534,8 @@
     // In a collapsed pool no probe is answered in time, and they would only cost.
     bool should_ask(const Request& r) const {
         const bool doubtful = timely < kEasy && timely > kHopeless;
-        return settings.may_probe && is_light() && doubtful && r.asks < kAskRounds;
+        const bool worth_it = 2 * settings.fees.probe < 1 - timely;  // two probes, for one bad answer less
+        return settings.may_probe && is_light() && doubtful && worth_it && r.asks < kAskRounds;
     }
 
     void on(const ProbeEnded& e) {
@@ -697,6 +710,7 @@
         ++tally.sent;
         if (!r.attempts.empty()) ++tally.again;
         ++s.outstanding;
+        s.idle = has_idle(s) ? s.idle - 1 : 0;
         s.waiting.emplace_back(now, r.kind.aim);
         ++outstanding;
         r.asked = 0, r.asks = 0;
@@ -734,9 +748,12 @@
         a.may_have_run = !proves_never_ran(e.outcome);
         if (const auto at = servers.find(a.server); at != servers.end()) {
             book(at->second, r, a, e);
+            if (e.outcome == Outcome::completed)
+                at->second.idle = (has_idle(at->second) ? at->second.idle : 0) + 1;
+            if (e.outcome == Outcome::completed) at->second.idle_at = now;
             // Idle connections of many sidecars fill a server's table: it slows down and then turns new ones
             // away. A light sidecar asks a server again so late that opening one anew costs less.
-            if (at->second.outstanding == 0 && is_light()) act(CloseIdle{a.server});
+            if (at->second.outstanding == 0 && is_light()) close_surplus(at->second);
             forget_gone(at);
         }
         if (e.request_ended) r.ended = true;
@@ -750,6 +767,25 @@
         tell_fleet();
     }
 
+    bool has_idle(const Server& s) const { return s.idle > 0 && now < s.idle_at + kIdleFor; }
+    // Where a new connection costs more than crossing zones, a light sidecar keeps a few and asks there
+    // first.
+    bool keeps_idle() const { return settings.fees.handshake > settings.fees.cross_zone * 2; }
+    void close_surplus(Server& s) {
+        Server* oldest = &s;
+        if (keeps_idle()) {
+            std::size_t kept = 0;
+            for (auto& [id, other] : servers)
+                if (has_idle(other)) {
+                    ++kept;
+                    if (other.idle_at < oldest->idle_at && other.outstanding == 0) oldest = &other;
+                }
+            if (kept <= kMostIdle) return;
+        }
+        oldest->idle = 0;
+        act(CloseIdle{oldest->info.id});
+    }
+
     void on(const ClientGone& e) {
         const auto it = requests.find(e.id);
         if (it == requests.end()) return;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -174,6 +174,8 @@
         const Field fees = root["fees"];
         if (fees.has("cross-zone")) s.fees.cross_zone = fees["cross-zone"].amount();
         if (fees.has("peer")) s.fees.peer = fees["peer"].amount();
+        if (fees.has("probe")) s.fees.probe = fees["probe"].amount();
+        if (fees.has("handshake")) s.fees.handshake = fees["handshake"].amount();
     }
     if (root.has("tenants"))
         for (const Field& item : root["tenants"].items()) {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -11,6 +11,9 @@
 constexpr int kWaitMs = 20000;
 // A call takes the wait, and what passing on a long list takes; one that has nothing to wait for, less.
 constexpr std::chrono::milliseconds kBeyondWait{2000}, kCallTime{2000};
+// One service for all sidecars works through their calls in turn, and says itself when one has waited too
+// long.
+constexpr std::chrono::milliseconds kTurn{6000};
 constexpr std::uint64_t kListLimit = 16 * 1024 * 1024;
 }  // namespace
 
@@ -74,8 +77,8 @@
         return ec || call_ != call;  // moved away from meanwhile
     };
     const auto exchange = [this, call, fail] {
-        call->stream->expires_after(call->whole ? kCallTime
-                                                : std::chrono::milliseconds(kWaitMs) + kBeyondWait);
+        const auto turn = config_.settings.list_on_request ? kTurn : kCallTime;
+        call->stream->expires_after(call->whole ? turn : std::chrono::milliseconds(kWaitMs) + kBeyondWait);
         http::async_write(*call->stream, call->request, [this, call, fail](error_code ec, std::size_t) {
             if (fail(ec)) return;
             http::async_read(*call->stream, call->buffer, call->parser,
@@ -101,7 +104,10 @@
         return failed(call, std::string("an answer that can't be read: ") + error.what());
     }
     if (call->whole && !list.whole) return failed(call, "changes where the whole list was asked for");
-    if (list.seq < seq_) return failed(call, "an older list");
+    if (list.seq < seq_) {
+        gap_ = true;
+        return failed(call, "an older list");
+    }
     call_.reset();
     if (call->parser.keep_alive()) kept_ = std::move(call->stream);
     seq_ = list.seq;
@@ -117,7 +123,9 @@
     log_line("discovery: " + why);
     call_.reset();
     kept_.reset();
-    gap_ = true;
+    // One service for all is asked for what has changed since the version held, as long as it gives any:
+    // whole lists for everybody, at the moment when it is behind, are what keeps it behind.
+    if (!config_.settings.list_on_request) gap_ = true;
     if (config_.settings.list_on_request) {
         active_ = false, fetch_ = false;
         return handlers_.failed();
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -32,6 +32,8 @@
     check(s.cold_from >= 0 && s.cold_from <= 1, "cold_from");
     check_amount(s.fees.cross_zone, "fees.cross_zone");
     check_amount(s.fees.peer, "fees.peer");
+    check_amount(s.fees.probe, "fees.probe");
+    check_amount(s.fees.handshake, "fees.handshake");
     for (std::size_t i = 0; i < s.tenants.size(); ++i)
         check_amount(s.tenants[i].quota_per_s, "tenants[" + std::to_string(i) + "].quota_per_s");
     check(s.over_share_worth >= 0 && s.over_share_worth <= 1, "over_share_worth");
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -181,6 +181,8 @@
     s.warm_within = start.number_or("rules.warm-within-ms", s.warm_within);
     s.fees.cross_zone = start.number_or("fees.cross-zone", s.fees.cross_zone);
     s.fees.peer = start.number_or("fees.peer", s.fees.peer);
+    s.fees.probe = start.number_or("fees.probe", s.fees.probe);
+    s.fees.handshake = start.number_or("fees.handshake", s.fees.handshake);
     for (std::uint64_t i = 0, count = start.integer_or("tenants.count", 0); i < count; ++i) {
         const std::string prefix = "tenants." + std::to_string(i) + ".";
         site.tenants.emplace_back(start.text(prefix + "name"));
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -139,12 +139,41 @@
     EXPECT_FALSE(closes(5, 500));
 }
 
+// How many connections a light sidecar opens for a hundred requests, and keeps, by the price of one.
+std::pair<int, std::size_t> opened(double fee) {
+    Settings s = make_settings({make_class(Effect::once)});
+    s.fees.handshake = fee;
+    Rig rig(s);
+    rig.list(ListKind::full, make_servers(50));
+    std::set<ServerId> open;
+    int fresh = 0;
+    for (int i = 0; i < 100; ++i) {
+        rig.pass(200);
+        const RequestId id = rig.request();
+        fresh += open.insert(rig.where(id)).second;
+        rig.end(id, Outcome::completed, 20);
+        for (const Action& a : rig.last)
+            if (const auto* close = std::get_if<CloseIdle>(&a)) open.erase(close->server);
+    }
+    return {fresh, open.size()};
+}
+
+TEST(Fleet, WhereConnectionsAreDearALightSidecarKeepsAFewAndAsksThereFirst) {
+    const auto [cheap, none] = opened(0.0);
+    EXPECT_GT(cheap, 90);
+    EXPECT_EQ(none, 0U);
+    const auto [dear, kept] = opened(0.08);
+    EXPECT_LT(dear, 40);
+    EXPECT_LE(kept, 9U) << "servers' tables are shared by all";
+}
+
 // ---- Probe race -----------------------------------------------------------------------------------------
 
 // A light sidecar (twenty servers, a request every 700 ms) whose last attempts have come too late.
-Rig troubled(bool may_probe = true) {
+Rig troubled(bool may_probe = true, double fee = 0) {
     Settings s = make_settings({make_class(Effect::once)});
     s.may_probe = may_probe;
+    s.fees.probe = fee;
     Rig rig(s);
     rig.list(ListKind::full, make_servers(20));
     for (int i = 0; i < 12; ++i) {
@@ -180,6 +209,14 @@
     rig.end(id, Outcome::completed);
 }
 
+TEST(Race, ProbesThatCostMoreThanABadAnswerAreNotSent) {
+    for (const auto& [fee, asked] : {std::pair{0.0, true}, {0.01, true}, {0.5, false}}) {
+        Rig rig = troubled(true, fee);
+        rig.request();
+        EXPECT_EQ(!probed(rig).empty(), asked) << fee;
+    }
+}
+
 TEST(Race, WhereNoProbeIsAnsweredTheRequestStillGoesOut) {
     Rig rig = troubled();
     const RequestId id = rig.request();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -577,6 +577,22 @@
     while (app.ask(App::request("listen")).result_int() != 200u) ASSERT_LT(seconds_since(start), 30);
 }
 
+// Where discovery is one service for all, whoever holds a version asks for what came since: whole lists for
+// everybody are what keeps an overbooked service behind. Only an older list calls for the whole.
+TEST(Watch, AnAskedServiceThatTurnsCallsAwayIsAskedOnlyForWhatChanged) {
+    FakeDiscovery discovery;
+    json config = a_config(discovery.at(), {host("s1", kNowhere)});
+    config["settings"]["membership-mode"] = "on_request";
+    Running sidecar(config);
+    EXPECT_EQ(discovery.wait_for(1).at(0), "/v1/servers?after=5&wait_ms=20000");
+    discovery.say("");  // broken off
+    EXPECT_EQ(discovery.wait_for(2).at(1), "/v1/servers?after=5&wait_ms=20000");
+    discovery.say("{\"seq\":");
+    EXPECT_EQ(discovery.wait_for(3).at(2), "/v1/servers?after=5&wait_ms=20000");
+    discovery.say(4, true, {});  // older than what is held
+    EXPECT_EQ(discovery.wait_for(4).at(3), "/v1/servers");
+}
+
 // A file that stands in for the process's configuration.
 class ConfigFile {
 public:
