Expect cold servers to be as slow as they are cold; leave out those too late

Cause: expected() took a cold server that nobody had measured for as quick as a warm one, and one measured while colder for as slow as then. Ruled out: full tables, failed connects (none at cold servers).

Change: times are kept as of a warm server and stretched by what the server is sure to do by now; a cold one whose answer is expected past the aim gets nothing; among those that do, it is compared for its warmth, since the lot bounds its share. Test: Fleet.AColdServerThatCannotAnswerInTimeIsLeftAloneUntilItCan (red without).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -47,7 +47,7 @@
 constexpr double kCommonRoom = 0.6;
 // A server is offered a request only while, by how long its answers took with how many there, the answer is
 // expected within this share of the aim; what is beyond its tenant's share leaves room for what is not.
-constexpr double kFit = 0.7, kFitOver = 0.25;
+constexpr double kFit = 0.7, kFitOver = 0.25, kFitCold = 1, kLeastWarmth = 0.05;
 constexpr double kPromising = 1.3, kLeastTook = 0.02;
 constexpr double kFar = 10;       // times the fee for crossing zones: how much quicker a far server must be
 constexpr double kOverdue = 1.5;  // an attempt ended without an answer would have taken so much longer
@@ -219,9 +219,14 @@
         return settings.warm_within > 0 && s.info.online_since > 0 &&
                now < s.info.online_since + settings.warm_within;
     }
-    double cold_share(const Server& s) const {
+    // What it is sure to do of its full work by now.
+    double warmth(const Server& s) const {
+        if (!is_cold(s)) return 1;
         const double age = std::max(0.0, now - s.info.online_since) / settings.warm_within;
-        const double share = settings.cold_from + (1 - settings.cold_from) * std::min(1.0, age);
+        return settings.cold_from + (1 - settings.cold_from) * std::min(1.0, age);
+    }
+    double cold_share(const Server& s) const {
+        const double share = warmth(s);
         // While its answers come in time, more than it is sure to bear: most warm up sooner.
         const bool eager = s.pace > 0 && s.pace <= kAimShare;
         const double feed = eager ? std::max(1.0, kFeed * settings.fall_multiple) : 1;
@@ -388,8 +393,11 @@
         // that arrives at a hundred sidecars at once.
         const double fresh = s.took > 0 ? std::exp((s.took_at - now) / kTookMemory) : 0;
         const double alone = usual + (s.took / (1 + s.crowd) - usual) * fresh;
-        return std::max(alone * (2 + load(s)), oldest(s));
+        return std::max(alone * (2 + load(s)) / std::max(kLeastWarmth, warmth(s)), oldest(s));
     }
+    // A cold one is slow by nature, and its lot keeps it from more than its share: no reason to prefer
+    // others.
+    double for_its_warmth(const Server& s) const { return expected(s) * warmth(s); }
     // What has waited there for long tells of a machine that stands still before any outcome does.
     double oldest(const Server& s) const {
         double most = 0;
@@ -397,6 +405,7 @@
         return most;
     }
     bool fits(const Server& s, const Request& r) const {
+        if (is_cold(s)) return expected(s) <= (r.within ? kFitCold : kFitOver);
         return s.took <= 0 || load(s) < 1 || expected(s) <= (r.within ? kFit : kFitOver);
     }
 
@@ -407,7 +416,8 @@
         // Crossing zones costs: a far one must be that much quicker.
         const auto cost = [&](const Server& one) {
             const bool far = settings.my_zone && one.info.zone != *settings.my_zone;
-            return std::max(kLeastTook, expected(one)) * (far ? 1 + kFar * settings.fees.cross_zone : 1);
+            return std::max(kLeastTook, for_its_warmth(one)) *
+                   (far ? 1 + kFar * settings.fees.cross_zone : 1);
         };
         std::vector<double> costs;
         for (const Server* s : from) costs.push_back(cost(*s));
@@ -490,11 +500,12 @@
             tally.probes += 2;
             return nullptr;
         }
-        const bool other = b.outstanding + grace < a.outstanding ||
-                           (b.outstanding == a.outstanding &&
-                            (doubt != 0       ? doubt > 0
-                             : elsewhere != 0 ? elsewhere > 0
-                                              : !nearer && expected(b) * kPromising < expected(a)));
+        const bool other =
+            b.outstanding + grace < a.outstanding ||
+            (b.outstanding == a.outstanding &&
+             (doubt != 0       ? doubt > 0
+              : elsewhere != 0 ? elsewhere > 0
+                               : !nearer && for_its_warmth(b) * kPromising < for_its_warmth(a)));
         return other ? second : first;
     }
 
@@ -597,7 +608,7 @@
                 error = true;
                 took = e.outcome == Outcome::refused_connection ? 1.5 : kMostTook;
         }
-        if (!error) smooth(s.pace, ratio);
+        if (!error) smooth(s.pace, ratio), took *= warmth(s);
         if (s.took <= 0) s.took = took, s.crowd = a.crowd;
         // The longer ago the last, the more this one counts.
         const double weight = std::max(2.0 / kWindow, 1 - std::exp((s.took_at - now) / kTookMemory));
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -55,6 +55,29 @@
     EXPECT_GT(joined, all * 4 / 20 / 4);  // nor are they left alone
 }
 
+TEST(Fleet, AColdServerThatCannotAnswerInTimeIsLeftAloneUntilItCan) {
+    // Warm ones take 100 ms of 400. At a fifth of that speed the answer is late; at three fifths it is not.
+    const auto sent = [](Millis age) {
+        int cold = 0;
+        for (std::uint64_t n = 1; n <= 200; ++n) {
+            Rig rig(make_settings({make_class(Effect::once)}), n);
+            rig.list(ListKind::full, make_servers(10));
+            for (int i = 0; i < 40; ++i) rig.end(rig.request(), Outcome::completed, 100);
+            rig.list(ListKind::incremental, {{11, 0, 0, Phase::on, rig.now - age}});
+            for (int i = 0; i < 5; ++i) {
+                const RequestId id = rig.request();
+                const bool there = rig.where(id) == 11;
+                cold += there;
+                rig.end(id, Outcome::completed, there ? 167 : 100);
+            }
+        }
+        return cold;
+    };
+    EXPECT_EQ(sent(0), 0);
+    EXPECT_GT(sent(10000), 20);
+    EXPECT_LT(sent(10000), 200 * 5 / 11 * 1.5);
+}
+
 TEST(Fleet, WhatFailsFastDoesNotPassForQuick) {
     // Failures leave no answer's time behind. Taken for the quickest, such a server gets all that come until
     // its window has seen three; with a hundred sidecars that is three hundred requests a server.
