--- a/src/net/tally.hpp
+++ b/src/net/tally.hpp
@@ -1,5 +1,5 @@
 // One line in the log, now and then, that says what a sidecar has done since its start and what it believes:
-// sums over a fleet's logs show what no single sidecar can (`cobaltshift-lab tally`).
+// sums over a fleet's logs show what no single sidecar can (`deploy/tally.sh`).
 #pragma once
 
 #include <string>
