Tell the fleet what is out as often as a crowd makes it worth, and hear every peer

A hundred sidecars at 15 requests a second have 1.5 attempts out each: their own queues say nothing of sixty servers. What others have out came every 390 ms (tell_fleet: 0.002 of the result), an answer takes 100.

Change: up to 0.04 of the result for telling, by how crowded the pool is; 0.002 in an idle one, as before.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -53,7 +53,8 @@
 constexpr double kOverdue = 1.5;  // an attempt ended without an answer would have taken so much longer
 constexpr double kMostTook = 4;   // aims: a longer answer tells no more than that
 constexpr Millis kTellEvery = 50, kLastMoment = 10, kTookMemory = 10000;
-constexpr double kTellFee = 0.002;                     // of the result, for telling the others what is out
+constexpr double kTellFee = 0.04;   // of the result at most, for telling the others what is out
+constexpr double kTellEasy = 0.05;  // of kTellFee, in an idle pool
 constexpr double kLeastShare = 0.25, kMostRate = 1e6;  // of guidance: less or more is not followed
 constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 2 of it
 constexpr Millis kIdleFor = 8000;      // a connection is taken to be open so long after its last answer
@@ -426,7 +427,8 @@
         std::erase_if(from, [&](const Server* s) { return cost(*s) > most; });
     }
 
-    // So often that it costs no more than kTellFee of the result, whatever a message costs.
+    // So often that it costs no more than kTellFee of the result, whatever a message costs; less while
+    // answers come easily, since there is little to gain.
     void tell_fleet() {
         if (!settings.may_tell || settings.siblings < 2 || gap <= 0 || now < tell_at) return;
         std::vector<FleetView::Out> out;
@@ -435,7 +437,8 @@
         const auto bytes = FleetView::say(now, shares, std::move(out));
         const double cost =
             settings.fees.peer * static_cast<double>(bytes.size()) / 256 * (settings.siblings - 1);
-        tell_at = now + std::max(kTellEvery, cost / kTellFee * gap);
+        const double worth_it = kTellFee * std::clamp(crowding / kCrowded, kTellEasy, 1.0);
+        tell_at = now + std::max(kTellEvery, cost / worth_it * gap);
         act(TellPeer{std::nullopt, bytes});
         ++tally.told;
     }
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr Millis kFresh = 600;  // by then most of what was out has ended
-constexpr std::size_t kMostPeers = 64;
+constexpr std::size_t kMostPeers = 1024;
 std::uint16_t brief(ServerId id) { return static_cast<std::uint16_t>(id); }
 }  // namespace
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -359,6 +359,43 @@
     EXPECT_TRUE(told(false, Outcome::severed).empty()) << "where it is not allowed";
 }
 
+// What one of a hundred sidecars spends on telling all the others what it has out, as a part of the result;
+// its answers take so long, at an aim of 400 ms.
+double spent_on_telling(Millis answers_take, double fee) {
+    Settings s = make_settings({make_class(Effect::once)});
+    s.may_tell = true;
+    s.siblings = 100;
+    s.fees.peer = fee;
+    Rig rig(s);
+    rig.list(ListKind::full, make_servers(60));
+    double bytes = 0;
+    const auto told = [&] {
+        for (const Action& a : rig.last)
+            if (const auto* tell = std::get_if<TellPeer>(&a))
+                bytes += static_cast<double>(tell->bytes.size());
+    };
+    int asked = 0;
+    std::vector<std::pair<RequestId, Millis>> out;
+    for (int tick = 0; tick < 3000; ++tick) {  // of 10 ms
+        rig.pass(10);
+        if (tick % 5 == 0) out.emplace_back(rig.request(), rig.now), ++asked, told();
+        while (!out.empty() && rig.now >= out.front().second + answers_take) {
+            if (rig.out(out.front().first)) rig.end(out.front().first, Outcome::completed, 0), told();
+            out.erase(out.begin());
+        }
+    }
+    return bytes * 99 / 256 * fee / asked;
+}
+
+TEST(Telling, CostsWhatItIsWorthMoreInACrowdThanInAnIdlePool) {
+    const double crowded = spent_on_telling(200, 0.006), idle = spent_on_telling(20, 0.006);
+    EXPECT_LT(crowded, 0.045);
+    EXPECT_GT(crowded, 0.015) << "seldom told, what others have out is old when it is used";
+    EXPECT_LT(idle, crowded / 3);
+    EXPECT_GT(idle, 0);
+    EXPECT_LT(spent_on_telling(200, 0.6), 0.05) << "whatever a message costs";
+}
+
 int sent_to(Rig& rig, ServerId server, int requests) {
     int met = 0;
     for (int i = 0; i < requests; ++i) {
