Forget a server's open connections when another process takes its name

learn() left the count of idle connections as it was when a server came back as another process, so for up to 8 s a light sidecar, which asks first where one is open, drew there for connections that had gone. Found by reading. Test: of 50 sidecars over 40 ask the one server with a connection again; after its restart under 10 (red without the line). Two equal conditions in on(AttemptEnded) are one.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -310,6 +310,7 @@
         if (fresh || info.online_since > s.info.online_since) {
             s.standing = Standing::live;  // another process under the same name: its record starts anew
             s.window = 0, s.filled = 0;
+            s.idle = 0;  // the connections went with the process
         }
         if (fresh || info.online_since != s.info.online_since) s.advice = {}, s.took = 0, s.took_at = now;
         s.info = info;
@@ -762,9 +763,10 @@
         a.may_have_run = !proves_never_ran(e.outcome);
         if (const auto at = servers.find(a.server); at != servers.end()) {
             book(at->second, r, a, e);
-            if (e.outcome == Outcome::completed)
+            if (e.outcome == Outcome::completed) {
                 at->second.idle = (has_idle(at->second) ? at->second.idle : 0) + 1;
-            if (e.outcome == Outcome::completed) at->second.idle_at = now;
+                at->second.idle_at = now;
+            }
             // Idle connections of many sidecars fill a server's table: it slows down and then turns new ones
             // away. A light sidecar asks a server again so late that opening one anew costs less.
             if (at->second.outstanding == 0 && is_light()) close_surplus(at->second);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -190,6 +190,29 @@
     EXPECT_LE(kept, 9U) << "servers' tables are shared by all";
 }
 
+TEST(Fleet, AServersConnectionsGoWithItsProcess) {
+    // Where connections are dear, the one server with an open one is asked again; not when it has started
+    // anew since.
+    const auto asked_again = [](bool restarts) {
+        int again = 0;
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+            Settings s = make_settings({make_class(Effect::once)});
+            s.fees.handshake = 0.08;
+            Rig rig(s, seed);
+            rig.list(ListKind::full, make_servers(50));
+            for (int i = 0; i < 2; ++i) rig.pass(200), rig.end(rig.request(), Outcome::completed, 20);
+            const RequestId last = rig.next_id - 1;
+            const ServerId met = rig.where(last);
+            if (restarts) rig.list(ListKind::incremental, {{met, 0, 0, Phase::on, rig.now - 30000}});  // warm
+            rig.pass(200);
+            again += rig.where(rig.request()) == met;
+        }
+        return again;
+    };
+    EXPECT_GT(asked_again(false), 40);
+    EXPECT_LT(asked_again(true), 10);
+}
+
 // ---- Probe race -----------------------------------------------------------------------------------------
 
 // A light sidecar (twenty servers, a request every 700 ms) whose last attempts have come too late.
