Tell what failed beside what is out: who fails fast no longer draws a whole fleet

Traced: suspicion 1.8 against 0.6 at the others, load 0, expected() 0.2 against 0.5 to 1.6. It has nothing out, so the better loads are told, the more it draws. Change: what failed is compared as if out for as long as its answer is taken to have taken, and told under the turned id, which earlier builds read as a server they do not have. Messages of both builds are read by both (test).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -83,8 +83,9 @@
     double took = 0;  // the same, not capped, as of took_at
     Millis took_at = 0;
     std::vector<std::pair<Millis, Millis>> waiting;  // of our attempts out: when sent, and the aim
-    double crowd = 0;      // attempts of all sidecars at it when those were sent, themselves included
-    double suspicion = 0;  // decayed count of failed and late attempts, ours and those we were told of
+    std::vector<Millis> failed;  // until when attempts that failed at once count against it
+    double crowd = 0;            // attempts of all sidecars at it when those were sent, themselves included
+    double suspicion = 0;        // decayed count of failed and late attempts, ours and those we were told of
     Millis suspected_at = 0;
     std::vector<RequestId> askers;  // requests that await a probe of it
     ServerGuidance advice;          // in force until Impl::guided_until
@@ -310,6 +311,7 @@
         if (fresh || info.online_since > s.info.online_since) {
             s.standing = Standing::live;  // another process under the same name: its record starts anew
             s.window = 0, s.filled = 0;
+            s.failed.clear();
             s.idle = 0;  // the connections went with the process
         }
         if (fresh || info.online_since != s.info.online_since) s.advice = {}, s.took = 0, s.took_at = now;
@@ -390,16 +392,25 @@
     double load(const Server& s) const { return s.outstanding + fleet.elsewhere(s.info.id); }
     // The time of an answer against its aim grows with the number at the server. What is long ago is
     // forgotten: a machine that was slow must be tried again.
-    double expected(const Server& s) const {
+    double expected(const Server& s, int more = 0) const {
         // Who is not known, or no longer, is taken to be like the rest: as the quickest, it would draw all
         // that arrives at a hundred sidecars at once.
         const double fresh = s.took > 0 ? std::exp((s.took_at - now) / kTookMemory) : 0;
         const double alone = usual + (s.took / (1 + s.crowd) - usual) * fresh;
-        return std::max(alone * (2 + load(s)) / std::max(kLeastWarmth, warmth(s)), oldest(s));
+        return std::max(alone * (2 + load(s) + more) / std::max(kLeastWarmth, warmth(s)), oldest(s));
     }
     // A cold one is slow by nature, and its lot keeps it from more than its share: no reason to prefer
     // others.
-    double for_its_warmth(const Server& s) const { return expected(s) * warmth(s); }
+    double for_its_warmth(const Server& s) const {
+        return expected(s, failed(s) + fleet.failed(s.info.id)) * warmth(s);
+    }
+    // Who fails fast has little out and would draw all who have not met it lately. So what failed is compared
+    // as if it were out for as long as its answer is taken to have taken; the others are told. It turns
+    // nothing away.
+    int failed(const Server& s) const {
+        return static_cast<int>(
+            std::count_if(s.failed.begin(), s.failed.end(), [&](Millis until) { return now < until; }));
+    }
     // What has waited there for long tells of a machine that stands still before any outcome does.
     double oldest(const Server& s) const {
         double most = 0;
@@ -434,7 +445,8 @@
         if (!settings.may_tell || settings.siblings < 2 || gap <= 0 || now < tell_at) return;
         std::vector<FleetView::Out> out;
         for (const auto& [id, s] : servers)
-            if (s.outstanding > 0) out.push_back({id, s.outstanding});
+            if (const int fails = failed(s); s.outstanding > 0 || fails > 0)
+                out.push_back({id, s.outstanding, fails});
         const auto bytes = FleetView::say(now, shares, std::move(out));
         const double cost =
             settings.fees.peer * static_cast<double>(bytes.size()) / 256 * (settings.siblings - 1);
@@ -611,6 +623,8 @@
                 if (!is_thin()) return;  // its window tells soon enough
                 error = true;
                 took = e.outcome == Outcome::refused_connection ? 1.5 : kMostTook;
+                std::erase_if(s.failed, [&](Millis until) { return until <= now; });
+                s.failed.push_back(now + took * r.kind.aim);
         }
         if (!error) smooth(s.pace, ratio), took *= warmth(s);
         if (s.took <= 0) s.took = took, s.crowd = a.crowd;
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -7,7 +7,6 @@
 namespace {
 constexpr Millis kFresh = 600;  // by then most of what was out has ended
 constexpr std::size_t kMostPeers = 1024;
-std::uint16_t brief(ServerId id) { return static_cast<std::uint16_t>(id); }
 }  // namespace
 
 std::vector<std::uint8_t> FleetView::say(Millis now, const Shares& shares, std::vector<Out> out) {
@@ -17,12 +16,13 @@
     std::sort(out.begin(), out.end(), [](const Out& a, const Out& b) {
         return a.out != b.out ? a.out > b.out : a.server < b.server;
     });
-    for (const Out& o : out) {
-        if (o.out <= 0 || bytes.size() + 3 > kLongest) break;
-        bytes.push_back(static_cast<std::uint8_t>(brief(o.server) >> 8));
-        bytes.push_back(static_cast<std::uint8_t>(o.server));
-        bytes.push_back(static_cast<std::uint8_t>(std::min(o.out, 255)));
-    }
+    const auto put = [&](std::uint16_t id, int number) {
+        if (number <= 0 || bytes.size() + 3 > kLongest) return;
+        bytes.push_back(static_cast<std::uint8_t>(id >> 8));
+        bytes.push_back(static_cast<std::uint8_t>(id));
+        bytes.push_back(static_cast<std::uint8_t>(std::min(number, 255)));
+    };
+    for (const Out& o : out) put(brief(o.server), o.out), put(turned(o.server), o.failed);
     return bytes;
 }
 
@@ -65,8 +65,8 @@
     }
 }
 
-int FleetView::elsewhere(ServerId server) const {
-    const auto at = sums_.find(brief(server));
+int FleetView::sum(std::uint16_t id) const {
+    const auto at = sums_.find(id);
     return at == sums_.end() ? 0 : at->second;
 }
 
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -2,8 +2,9 @@
 // narrows or orders what the balancer would do by itself. Free of I/O, time is passed in.
 //
 // A message: kTag, the tenants' rates a byte each (as many as there are tenants), then for each server with
-// something out the lower half of its id and the number, three bytes. Lost ones leave the last in force until
-// it is too old. Any that don't fit this form are dropped whole.
+// something out the lower half of its id and the number, three bytes; the number that failed there of late
+// goes under the id with all bits turned, which says nothing to those who don't know of it. Lost ones leave
+// the last in force until it is too old. Any that don't fit this form are dropped whole.
 #pragma once
 
 #include <cstdint>
@@ -25,6 +26,7 @@
     struct Out {
         ServerId server = 0;
         int out = 0;
+        int failed = 0;  // of late
     };
     // The servers with most out first, as many as fit.
     static std::vector<std::uint8_t> say(Millis now, const Shares& shares, std::vector<Out> out);
@@ -33,13 +35,18 @@
     // Forgets what was said too long ago; to be called as time goes on, before asking.
     void pass(Millis now);
     // Attempts out at the server from others. One look-up, however many others there are.
-    int elsewhere(ServerId server) const;
+    int elsewhere(ServerId server) const { return sum(brief(server)); }
+    // What others have seen fail there of late.
+    int failed(ServerId server) const { return sum(turned(server)); }
 
 private:
     struct Said {
         Millis at = 0;
         std::vector<std::pair<std::uint16_t, int>> out;
     };
+    static std::uint16_t brief(ServerId id) { return static_cast<std::uint16_t>(id); }
+    static std::uint16_t turned(ServerId id) { return static_cast<std::uint16_t>(~id); }
+    int sum(std::uint16_t id) const;
     void take_back(Said& said);
 
     std::map<std::uint32_t, Said> peers_;
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -43,6 +43,10 @@
     {"clients.zipf", 0, 4},
     {"client.aim_ms", 1, 600000},
     {"client.patience_ms", 1, 600000},
+    {"peers", 0, 1},
+    {"fees.peer", 0, 10},
+    {"fees.probe", 0, 10},
+    {"fees.handshake", 0, 10},
     {"class.safe", 0, 1},
     {"class.once", 0, 1},
     {"class.keyed", 0, 1},
@@ -276,10 +280,11 @@
 
 const std::vector<std::string>& known_figures() {
     static const std::vector<std::string> all = {
-        "asked",         "in time",     "late",          "refused",    "failed",   "lost in restarts",
-        "attempts",      "runs",        "cold peak",     "grant peak", "removals", "removal s",
-        "never removed", "plans taken", "plans refused", "broken",     "events",   "loss",
-        "in time share", "p50 ms",      "p99 ms",        "unanswered", "doubled"};
+        "asked",         "in time",     "late",          "refused",    "failed",         "lost in restarts",
+        "attempts",      "runs",        "cold peak",     "grant peak", "removals",       "removal s",
+        "never removed", "plans taken", "plans refused", "broken",     "events",         "loss",
+        "in time share", "p50 ms",      "p99 ms",        "unanswered", "doubled",        "connects",
+        "connects peak", "probes",      "probes peak",   "told bytes", "datagrams peak", "failing peak"};
     return all;
 }
 
--- a/src/sim/facts.hpp
+++ b/src/sim/facts.hpp
@@ -92,5 +92,28 @@
     const char* how;
     std::string text() const { return "server " + std::to_string(server) + " " + how; }
 };
+// Where the day sets `peers`: what forwarders cost servers and one another beside requests.
+struct Opened {  // a connection
+    Node forwarder;
+    kelplb::ServerId server;
+    std::string text() const {
+        return "forwarder " + std::to_string(forwarder) + " connects to server " + std::to_string(server);
+    }
+};
+struct Probed {
+    Node forwarder;
+    kelplb::ServerId server;
+    std::string text() const {
+        return "forwarder " + std::to_string(forwarder) + " probes server " + std::to_string(server);
+    }
+};
+struct Spoke {  // to other forwarders: so many datagrams of so many bytes
+    Node forwarder;
+    std::size_t datagrams, bytes;
+    std::string text() const {
+        return "forwarder " + std::to_string(forwarder) + " tells " + std::to_string(datagrams) + " others " +
+               std::to_string(bytes) + " bytes";
+    }
+};
 
 }  // namespace cobaltshift::sim
--- a/src/sim/models/archive.hpp
+++ b/src/sim/models/archive.hpp
@@ -53,8 +53,9 @@
     void thaw();
     void fail(double share) { errors_ = share; }
     double failing() const { return errors_; }
-    void drain(kelplb::Phase phase);    // only what discovery is told
-    void mute(bool on) { mute_ = on; }  // takes, never answers
+    bool answers() const { return up_ && !frozen_ && !mute_; }  // a probe
+    void drain(kelplb::Phase phase);                            // only what discovery is told
+    void mute(bool on) { mute_ = on; }                          // takes, never answers
 
 private:
     double share() const;
--- a/src/sim/models/forwarder.cpp
+++ b/src/sim/models/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "sim/models/forwarder.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "plan/codec.hpp"
 #include "sim/models/discovery.hpp"
@@ -12,7 +13,7 @@
 
 namespace {
 constexpr Millis kReportEvery = 1000, kQuestionPatience = 1800, kRefusedPause = 250;
-constexpr Millis kDedup = 3000;
+constexpr Millis kDedup = 3000, kProbePatience = 200;
 }  // namespace
 
 Forwarder::Forwarder(Scene& scene, Node number)
@@ -23,6 +24,7 @@
       name_("f" + std::to_string(number)),
       lots_(scene.kernel.stream("forwarder/" + std::to_string(number))),
       aim_(Workload(scene.day).aim),
+      peers_(scene.day.count("peers", 0) > 0),
       taken_(scene.figure("plans taken")),
       refused_(scene.figure("plans refused")) {}
 
@@ -45,6 +47,9 @@
     s.cold_from = servers.cold_from;
     s.warm_within = servers.warm_within;
     s.fall_multiple = servers.fall_multiple;
+    s.may_tell = s.may_probe = peers_;
+    s.fees.peer = scene_.day.get("fees.peer", 0), s.fees.probe = scene_.day.get("fees.probe", 0);
+    s.fees.handshake = scene_.day.get("fees.handshake", 0);
     return s;
 }
 
@@ -57,6 +62,7 @@
     open_.clear();
     events_.clear();
     list_.clear();
+    idle_.clear();
     left_alone_.clear();
     guided_ = false, guide_at_ = 0;
     balancer_ = std::make_unique<kelplb::Balancer>(settings(), scene_.day.seed * 1000 + number_ * 10 + life_);
@@ -129,6 +135,10 @@
     open.out.push_back(true);
     scene_.bus.tell(Sent{open.request, number_, a.server, attempt});
     meter_->sent(a.server);
+    if (peers_) {
+        int& idle = idle_[a.server];
+        idle > 0 ? static_cast<void>(--idle) : scene_.bus.tell(Opened{number_, a.server});
+    }
     // Whom the module was told of: servers are numbered from 1 in the order of their making.
     Archive* server = scene_.all<Archive>().at(a.server - 1);
     const Archive::Job job{this, life_, a.id, attempt, open.request, open.work, endpoint_};
@@ -138,6 +148,39 @@
     });
 }
 
+void Forwarder::carry_out(const kelplb::TellPeer& a) {
+    const std::string bytes(a.bytes.begin(), a.bytes.end());
+    std::size_t datagrams = 0;
+    for (Forwarder* other : scene_.all<Forwarder>()) {
+        if (other == this || (a.to && other->number_ != *a.to)) continue;
+        ++datagrams;
+        scene_.network.send(endpoint_, other->endpoint_, bytes,
+                            [other, from = number_](const std::string& said) { other->heard(from, said); });
+    }
+    scene_.bus.tell(Spoke{number_, datagrams, bytes.size()});
+}
+
+void Forwarder::heard(Node from, const std::string& bytes) {
+    give(kelplb::PeerMessage{static_cast<std::uint32_t>(from), {bytes.begin(), bytes.end()}});
+}
+
+// Shallow: it is answered beside the queue by any process that runs.
+void Forwarder::carry_out(const kelplb::Probe& a) {
+    scene_.bus.tell(Probed{number_, a.server});
+    Archive* server = scene_.all<Archive>().at(a.server - 1);
+    const Millis asked_at = scene_.kernel.now();
+    const auto ended = std::make_shared<bool>(false);  // by the answer or by the wait for it
+    const auto end = [this, ended, asked_at, id = a.server, life = life_](Outcome outcome) {
+        if (life_ != life || std::exchange(*ended, true)) return;
+        give(kelplb::ProbeEnded{id, outcome, scene_.kernel.now() - asked_at});
+    };
+    scene_.network.pass(endpoint_, server->endpoint(), [this, server, end] {
+        if (!server->answers()) return;
+        scene_.network.pass(server->endpoint(), endpoint_, [end] { end(Outcome::completed); });
+    });
+    scene_.kernel.after(kProbePatience, [end] { end(Outcome::overdue); });
+}
+
 void Forwarder::carry_out(const kelplb::Cancel& a) {
     scene_.kernel.after(0, [this, id = a.id, attempt = a.attempt, life = life_] {
         ended(life, id, attempt, Outcome::recalled);
@@ -170,6 +213,7 @@
         answer(id, now <= ask.aim_at ? End::in_time : End::late, 0);
         event.request_ended = true;
     }
+    if (peers_ && outcome == Outcome::completed) ++idle_[server];
     give(event);
     forget(id);
 }
--- a/src/sim/models/forwarder.hpp
+++ b/src/sim/models/forwarder.hpp
@@ -27,7 +27,8 @@
     void told(const std::vector<kelplb::ServerInfo>& servers, bool whole);
     void ended(std::uint64_t life, kelplb::RequestId id, std::uint32_t attempt,
                kelplb::Outcome outcome) override;
-    void restart();  // dies, and comes back under its name
+    void heard(Node from, const std::string& bytes);  // from another forwarder
+    void restart();                                   // dies, and comes back under its name
 
     const plan::Follower& follower() const { return *follower_; }
     const kelplb::Balancer& balancer() const { return *balancer_; }
@@ -49,6 +50,9 @@
     void carry_out(const kelplb::Refuse& a) { answer(a.id, End::refused, a.retry_in); }
     void carry_out(const kelplb::GiveUp& a) { answer(a.id, End::failed, 0); }
     void carry_out(const kelplb::SetTimer& a);
+    void carry_out(const kelplb::TellPeer& a);
+    void carry_out(const kelplb::Probe& a);
+    void carry_out(const kelplb::CloseIdle& a) { idle_.erase(a.server); }
     template <class Other>
     void carry_out(const Other&) {}
     void answer(kelplb::RequestId id, End end, Millis retry_in);
@@ -73,7 +77,9 @@
     const std::string name_;  // to planners
     Stream lots_;
     const Millis aim_;
-    double &taken_, &refused_;  // figures
+    const bool peers_;  // forwarders speak to one another; probes and connections are played too
+    std::map<kelplb::ServerId, int> idle_;  // connections open and unused
+    double &taken_, &refused_;              // figures
     std::uint64_t life_ = 0, questions_ = 0;
     std::unique_ptr<kelplb::Balancer> balancer_;
     std::unique_ptr<plan::Meter> meter_;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -427,6 +427,61 @@
     EXPECT_LT(spent_on_telling(200, 0.6), 0.05) << "whatever a message costs";
 }
 
+// How many of 400 requests of a thin sidecar go to server 4 of 20, of which others say what is in `bytes`.
+int drawn_to_the_fourth(const std::vector<std::uint8_t>& bytes) {
+    Settings s = make_settings({make_class(Effect::once)});
+    s.may_tell = true;
+    s.siblings = 100;
+    int met = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Rig rig(s, seed);
+        rig.list(ListKind::full, make_servers(20));
+        for (int i = 0; i < 40; ++i) rig.pass(50), rig.end(rig.request(), Outcome::completed, 100);
+        for (int i = 0; i < 20; ++i) {
+            for (std::uint32_t peer = 1; peer <= 8; ++peer) rig.give(PeerMessage{peer, bytes});
+            rig.pass(50);
+            const RequestId id = rig.request();
+            EXPECT_TRUE(rig.out(id));
+            met += rig.where(id) == 4;
+            rig.end(id, Outcome::completed, 100);
+        }
+    }
+    return met;
+}
+
+TEST(Telling, AServerThatFailsAtOthersIsLeftAloneThoughItHasLittleOut) {
+    const std::uint8_t tag = 0xF1;
+    EXPECT_GT(drawn_to_the_fourth({tag}), 5);
+    EXPECT_LT(drawn_to_the_fourth({tag, 0xFF, 0xFB, 2}), 2) << "two failed of late at each of eight others";
+    // If they failed everywhere alike, that tells nothing of one.
+    std::vector<std::uint8_t> all{tag};
+    for (std::uint8_t id = 1; id <= 20; ++id)
+        all.insert(all.end(), {0xFF, static_cast<std::uint8_t>(~id), 2});
+    EXPECT_GT(drawn_to_the_fourth(all), 5);
+}
+
+TEST(Telling, AFailureCountsAgainstItsServerAndIsTold) {
+    Settings s = make_settings({make_class(Effect::repeatable)});
+    s.may_tell = true;
+    s.siblings = 100;
+    Rig rig(s);
+    rig.list(ListKind::full, make_servers(20));
+    for (int i = 0; i < 40; ++i) rig.pass(50), rig.end(rig.request(), Outcome::completed, 100);
+    rig.pass(50);
+    const RequestId id = rig.request();
+    const ServerId bad = rig.where(id);
+    rig.end(id, Outcome::errored, 1);
+    rig.pass(60);
+    const RequestId next = rig.request();
+    bool told = false;
+    for (const Action& a : rig.last)
+        if (const auto* tell = std::get_if<TellPeer>(&a); tell && !tell->to)
+            for (std::size_t i = 1; i + 2 < tell->bytes.size(); i += 3)
+                told |= tell->bytes[i] == 0xFF && tell->bytes[i + 1] == static_cast<std::uint8_t>(~bad);
+    EXPECT_TRUE(told);
+    EXPECT_TRUE(rig.out(next)) << "it turns nothing away";
+}
+
 int sent_to(Rig& rig, ServerId server, int requests) {
     int met = 0;
     for (int i = 0; i < requests; ++i) {
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -135,6 +135,24 @@
     EXPECT_EQ(elsewhere(view, 2000, 0x12345), 0);
 }
 
+TEST(FleetView, WhatFailedIsToldBesideWhatIsOutAndSaysNothingToThoseWhoDoNotKnowOfIt) {
+    Shares shares({}, 100);
+    FleetView view;
+    EXPECT_TRUE(view.hear(100, 1, FleetView::say(100, shares, {{7, 2, 3}, {8, 0, 1}}), shares));
+    EXPECT_TRUE(view.hear(100, 2, FleetView::say(100, shares, {{7, 1, 4}}), shares));
+    EXPECT_EQ(view.failed(7), 7);
+    EXPECT_EQ(view.failed(8), 1);
+    // An earlier build reads the same entries and asks only this: the number out is what it was.
+    EXPECT_EQ(view.elsewhere(7), 3);
+    EXPECT_EQ(view.elsewhere(8), 0);
+    // What an earlier build says has no such entries.
+    EXPECT_TRUE(view.hear(200, 2, {FleetView::kTag, 0, 7, 5}, shares));
+    EXPECT_EQ(view.elsewhere(7), 7);
+    EXPECT_EQ(view.failed(7), 3);
+    view.pass(2000);
+    EXPECT_EQ(view.failed(7), 0) << "forgotten like the rest";
+}
+
 TEST(FleetView, AMessageNeverOutgrowsADatagram) {
     Shares shares(std::vector<Tenant>(300, Tenant{5}), 3);
     std::vector<FleetView::Out> out;
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -562,6 +562,49 @@
     EXPECT_GT(first.figures.at("asked"), 1000);
 }
 
+// ---- The fleet's size ------------------------------------------------------------------------------------
+
+// The same load through so many forwarders: a quarter of the servers is lost and returns cold, a tenth fails.
+Played at_size(double forwarders, bool peers) {
+    Case day;
+    day.seed = 7;
+    day.length = 8000;
+    day.set = {{"planners", 0},
+               {"forwarders", forwarders},
+               {"servers", 40},
+               {"load", 0.7},
+               {"server.work_ms", 100},
+               {"client.aim_ms", 400},
+               {"client.patience_ms", 1500},
+               {"client.retries", 2},
+               {"peers", peers},
+               {"fees.peer", 0.006},
+               {"fees.probe", 0.006},
+               {"fees.handshake", 0.015}};
+    Troubles troubles;
+    troubles.crash_part = 0.25, troubles.error_part = 0.1;
+    draw_faults(day, troubles);
+    return play(day);
+}
+
+TEST(FleetSize, WhatTheFleetDoesToOneServerDoesNotGrowWithItsForwarders) {
+    for (const double forwarders : {25.0, 100.0}) {
+        const Played told = at_size(forwarders, true);
+        EXPECT_EQ(told.broken, 0U) << forwarders;
+        EXPECT_LT(told.figures.at("cold peak"), 1) << forwarders;
+        EXPECT_LT(told.figures.at("connects peak"), 120) << forwarders;
+        EXPECT_LT(told.figures.at("datagrams peak"), 2500) << forwarders;
+        EXPECT_LT(told.figures.at("failing peak"), forwarders > 50 ? 0.6 : 0.9) << forwarders;
+    }
+}
+
+TEST(FleetSize, WhatOthersHaveOutSparesAThirdOfTheLoss) {
+    const auto loss = [](const Played& day) {
+        return 1 - day.figures.at("in time") / day.figures.at("asked");
+    };
+    EXPECT_LT(loss(at_size(100, true)), loss(at_size(100, false)) * 2 / 3);
+}
+
 // ---- Kept days: cases that planted defects were shrunk to, and drawn days, with the digest each must end
 // with ----
 
