--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -88,13 +88,18 @@
             host = host.substr(1, host.size() - 2);
         const auto address = boost::asio::ip::make_address(host, ec);
         const char* end = text.data() + text.size();
-        if (ec || colon == std::string::npos ||
-            std::from_chars(text.data() + colon + 1, end, port).ptr != end || colon + 1 == text.size())
+        if (ec || colon == std::string::npos || colon + 1 == text.size() ||
+            !whole_port(text.data() + colon + 1, end, port))
             fail(path, "is not address:port");
         return {address, port};
     }
 
 private:
+    // A number past the last port reads to its end all the same.
+    static bool whole_port(const char* from, const char* end, std::uint16_t& port) {
+        const auto read = std::from_chars(from, end, port);
+        return read.ec == std::errc() && read.ptr == end;
+    }
     Field child(const std::string& name) const {
         const std::string path = path_.empty() ? name : path_ + "." + name;
         if (!value_->is_object()) fail(path_.empty() ? "the file" : path_, "is not an object");
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -593,6 +593,57 @@
     EXPECT_EQ(discovery.wait_for(4).at(3), "/v1/servers");
 }
 
+// A thousand servers are held. Whatever comes in place of a list, they stay, and it costs one further call,
+// for the whole list.
+TEST(Watch, HostileListsAndTheEndOfEach) {
+    std::vector<json> thousand;
+    for (int i = 0; i < 1000; ++i) thousand.push_back(host("s" + std::to_string(i), kNowhere));
+    const auto list = [](const json& seq, const json& hosts) {
+        return json{{"seq", seq}, {"whole", true}, {"hosts", hosts}}.dump();
+    };
+    const auto with = [&](const char* field, const json& value) {
+        std::vector<json> hosts = thousand;
+        hosts.back()[field] = value;  // the last of all: none of those ahead of it may be taken
+        hosts.front()["health"] = "DELETED";
+        return list(9, hosts);
+    };
+    const std::string good = list(5, thousand);
+    const std::vector<std::pair<const char*, std::string>> rows{
+        {"the service goes down", ""},
+        {"no list", "hello"},
+        {"cut off in the middle", good.substr(0, good.size() / 2)},
+        {"cut off by a byte", good.substr(0, good.size() - 1)},
+        {"something behind it", good + "x"},
+        {"another kind of value", "[]"},
+        {"nested a hundred thousand deep", std::string(100000, '[')},
+        {"over 16 MB", std::string(17 << 20, ' ') + good},
+        {"no version", "{\"whole\":true,\"hosts\":[]}"},
+        {"a version below 0", list(-1, json::array())},
+        {"a version that is a text", list("9", json::array())},
+        {"a version past 64 bits", "{\"seq\":1e30,\"whole\":true,\"hosts\":[]}"},
+        {"hosts that are no list", list(9, "none")},
+        {"an older list", list(4, json::array())},
+        {"a server without a state", with("health", nullptr)},
+        {"a server in a state that there is not", with("health", "MAYBE")},
+        {"a server without an address", with("dial", nullptr)},
+        {"an address without a port", with("dial", "127.0.0.1")},
+        {"a port past the last", with("dial", "127.0.0.1:65536")},
+        {"a birth that is no number", with("born_ms", "today")},
+    };
+    FakeDiscovery discovery;
+    Running sidecar(a_config(discovery.at(), thousand));
+    std::size_t calls = 1;
+    for (const auto& [name, answer] : rows) {
+        EXPECT_EQ(discovery.wait_for(calls).back(), "/v1/servers?after=5&wait_ms=20000") << name;
+        discovery.say(answer);
+        EXPECT_EQ(discovery.wait_for(++calls).back(), "/v1/servers") << name;
+        EXPECT_EQ(sidecar.held().servers, 1000U) << name;
+        discovery.say(good);
+        EXPECT_EQ(discovery.wait_for(++calls).size(), calls) << name << ": one further call, no more";
+    }
+    EXPECT_EQ(sidecar.held().servers, 1000U);
+}
+
 // A file that stands in for the process's configuration.
 class ConfigFile {
 public:
