--- /dev/null
+++ b/src/agree/codec.cpp
@@ -0,0 +1,243 @@
+#include "agree/codec.hpp"
+
+#include "store/fields.hpp"
+#include "store/sealed.hpp"
+
+namespace cobaltshift::agree {
+
+namespace {
+
+using protozero::pbf_writer;
+using store::Fields;
+using store::Unreadable;
+
+constexpr std::uint64_t kFormat = 1;
+constexpr std::uint64_t kLastKind = static_cast<std::uint64_t>(Message::Kind::gone);
+
+Members members_of(std::string_view bytes) {
+    Members members;
+    Fields all(bytes);
+    while (all.next()) {
+        if (all.tag() != 1) {
+            all.skip();
+            continue;
+        }
+        Member one;
+        Fields fields(all.bytes("member", 64));
+        while (fields.next()) switch (fields.tag()) {
+                case 1:
+                    one.id = fields.number("member id");
+                    break;
+                case 2:
+                    one.number = static_cast<std::uint32_t>(fields.number("member number", UINT32_MAX));
+                    break;
+                case 3:
+                    one.voter = fields.flag("member voter");
+                    break;
+                default:
+                    fields.skip();
+            }
+        if (one.id == kNobody) throw Unreadable("a member is nobody");
+        for (const Member& other : members)
+            if (other.id == one.id || other.number == one.number) throw Unreadable("a member is there twice");
+        members.push_back(one);
+        if (members.size() > kMaxMembers) throw Unreadable("there are too many members");
+    }
+    return members;
+}
+
+Entry entry_of(std::string_view bytes) {
+    Entry entry;
+    Fields fields(bytes);
+    while (fields.next()) switch (fields.tag()) {
+            case 1:
+                entry.term = fields.number("entry term");
+                break;
+            case 2:
+                entry.kind = static_cast<Entry::Kind>(fields.number("entry kind", 2));
+                break;
+            case 3:
+                entry.data = fields.text("entry data", kMaxEntryBytes);
+                break;
+            default:
+                fields.skip();
+        }
+    if (entry.term == 0) throw Unreadable("an entry has no term");
+    if (entry.kind == Entry::Kind::members) members_of(entry.data);
+    return entry;
+}
+
+Snapshot snapshot_of(std::string_view bytes) {
+    Snapshot snapshot;
+    Fields fields(bytes);
+    while (fields.next()) switch (fields.tag()) {
+            case 1:
+                snapshot.index = fields.number("snapshot index");
+                break;
+            case 2:
+                snapshot.term = fields.number("snapshot term");
+                break;
+            case 3:
+                snapshot.members = members_of(fields.bytes("snapshot members", 1024));
+                break;
+            case 4:
+                snapshot.data = fields.text("snapshot data", kMaxSnapshotBytes);
+                break;
+            default:
+                fields.skip();
+        }
+    return snapshot;
+}
+
+template <class What, class Read>
+std::optional<What> guarded(Read read) {
+    try {
+        return read();
+    } catch (const Unreadable&) {
+        return {};
+    }
+}
+
+}  // namespace
+
+std::string encode(const Members& members) {
+    std::string bytes;
+    pbf_writer all(bytes);
+    for (const Member& one : members) {
+        pbf_writer w(all, 1);
+        w.add_uint64(1, one.id);
+        w.add_uint32(2, one.number);
+        w.add_bool(3, one.voter);
+    }
+    return bytes;
+}
+
+std::string encode(const Entry& entry) {
+    std::string bytes;
+    pbf_writer w(bytes);
+    w.add_uint64(1, entry.term);
+    w.add_uint32(2, static_cast<std::uint32_t>(entry.kind));
+    if (!entry.data.empty()) w.add_bytes(3, entry.data);
+    return bytes;
+}
+
+std::string encode(const Snapshot& snapshot) {
+    std::string bytes;
+    pbf_writer w(bytes);
+    w.add_uint64(1, snapshot.index);
+    w.add_uint64(2, snapshot.term);
+    w.add_bytes(3, encode(snapshot.members));
+    w.add_bytes(4, snapshot.data);
+    return bytes;
+}
+
+std::string encode(const Message& m) {
+    std::string bytes;
+    pbf_writer w(bytes);
+    w.add_uint64(1, kFormat);
+    w.add_uint32(2, static_cast<std::uint32_t>(m.kind));
+    w.add_uint64(3, m.fleet);
+    w.add_uint64(4, m.from);
+    w.add_uint64(5, m.to);
+    w.add_uint32(6, m.number);
+    w.add_uint64(7, m.run.starts);
+    w.add_uint64(8, m.run.draw);
+    w.add_uint64(9, m.term);
+    w.add_uint64(10, m.index);
+    w.add_uint64(11, m.commit);
+    w.add_uint64(12, m.last);
+    w.add_uint64(13, m.log_term);
+    w.add_uint64(14, m.round);
+    w.add_bool(15, m.ok);
+    for (const Entry& entry : m.entries) w.add_bytes(16, encode(entry));
+    if (m.snapshot) w.add_bytes(17, encode(*m.snapshot));
+    return store::sealed(std::move(bytes));
+}
+
+std::optional<Message> decode_message(std::string_view bytes, std::string& why) {
+    why.clear();
+    if (bytes.size() > kMaxMessageBytes) return why = "it is too long", std::nullopt;
+    const auto body = store::unsealed(bytes);
+    if (!body) return why = "its checksum is not its own", std::nullopt;
+    Message m;
+    std::uint64_t format = 0;
+    try {
+        Fields f(*body);
+        while (f.next()) switch (f.tag()) {
+                case 1:
+                    format = f.number("format");
+                    break;
+                case 2:
+                    m.kind = static_cast<Message::Kind>(f.number("kind", kLastKind));
+                    break;
+                case 3:
+                    m.fleet = f.number("fleet");
+                    break;
+                case 4:
+                    m.from = f.number("from");
+                    break;
+                case 5:
+                    m.to = f.number("to");
+                    break;
+                case 6:
+                    m.number = static_cast<std::uint32_t>(f.number("number", UINT32_MAX));
+                    break;
+                case 7:
+                    m.run.starts = f.number("starts");
+                    break;
+                case 8:
+                    m.run.draw = f.number("draw");
+                    break;
+                case 9:
+                    m.term = f.number("term");
+                    break;
+                case 10:
+                    m.index = f.number("index");
+                    break;
+                case 11:
+                    m.commit = f.number("commit");
+                    break;
+                case 12:
+                    m.last = f.number("last");
+                    break;
+                case 13:
+                    m.log_term = f.number("log term");
+                    break;
+                case 14:
+                    m.round = f.number("round");
+                    break;
+                case 15:
+                    m.ok = f.flag("ok");
+                    break;
+                case 16:
+                    if (m.entries.size() >= kMaxEntriesInMessage)
+                        throw Unreadable("there are too many entries");
+                    m.entries.push_back(entry_of(f.bytes("entry", kMaxEntryBytes + 64)));
+                    break;
+                case 17:
+                    m.snapshot = std::make_shared<const Snapshot>(
+                        snapshot_of(f.bytes("snapshot", kMaxSnapshotBytes + 2048)));
+                    break;
+                default:
+                    f.skip();
+            }
+        if (format != kFormat) throw Unreadable("its format is " + std::to_string(format));
+        if (m.from == kNobody) throw Unreadable("it is from nobody");
+        if (m.kind == Message::Kind::snapshot && !m.snapshot) throw Unreadable("the snapshot is missing");
+    } catch (const Unreadable& fault) {
+        return why = fault.what(), std::nullopt;
+    }
+    return m;
+}
+
+std::optional<Members> decode_members(std::string_view bytes) {
+    return guarded<Members>([&] { return members_of(bytes); });
+}
+std::optional<Entry> decode_entry(std::string_view bytes) {
+    return guarded<Entry>([&] { return entry_of(bytes); });
+}
+std::optional<Snapshot> decode_snapshot(std::string_view bytes) {
+    return guarded<Snapshot>([&] { return snapshot_of(bytes); });
+}
+
+}  // namespace cobaltshift::agree
--- /dev/null
+++ b/src/agree/keeper.hpp
@@ -0,0 +1,206 @@
+// One of the few keepers that agree on a log: Raft (Ongaro and Ousterhout 2014) with pre-vote, check-quorum
+// and one change of members at a time. Entry type of the package: Keeper. Called by lease::Office, in the
+// program and in the world alike; free of I/O. docs/design/agree.md.
+//
+// Events go in with their time: heard(), tick(), propose(), confirm(). After each, while ready(): take() what
+// is to be done, carry it out in its order, and say stored(). The order is the whole promise: what is to be
+// kept is written and synced before anything of `messages` leaves and before stored(). A folder that can't be
+// written ends the keeper: it is made anew from what the folder holds.
+//
+// Invariants (Ongaro's names):
+//   one vote a term            a vote leaves after it is kept, and a life that lost its folder is another
+//   member leader append-only         a leader never drops entries of its own log log matching an entry is
+//   taken only behind the one that the leader has before it leader completeness        only a log as new as a
+//   majority's is voted for; commits count entries of the own term committed stays            a committed
+//   entry is never replaced (Broken if a message asks for it) one change at a time       no change of members
+//   while one is not committed, none before an own entry is
+#pragma once
+
+#include <map>
+#include <optional>
+#include <stdexcept>
+
+#include "agree/types.hpp"
+
+namespace cobaltshift::agree {
+
+// What can't be if everybody keeps to the protocol: the keeper must stop, and say so.
+struct Broken : std::logic_error {
+    using std::logic_error::logic_error;
+};
+
+struct Settings {
+    std::uint64_t fleet = 0;
+    std::uint32_t number = 0;   // this one's
+    std::uint32_t keepers = 3;  // numbers that may be members: 0 to keepers - 1
+    Millis heartbeat = 100;     // of a leader, and the longest wait of a batch for the round before it
+    Millis election = 1000;     // without a leader, before one stands: up to twice as long, drawn
+    std::size_t batch_bytes = 256 * 1024;        // in one message
+    std::size_t window_bytes = 4 * 1024 * 1024;  // sent to one keeper and not yet acknowledged
+};
+
+struct Committed {
+    Index index;
+    Entry entry;
+};
+
+// To be done, in this order.
+struct Ready {
+    // 1. Keep, and sync; `from`: entries kept from it on are replaced by `entries` (0: none are).
+    std::optional<Stored> vote;        // its term and voted alone
+    std::optional<Snapshot> snapshot;  // replaces all that was kept; `entries` are all that follow it
+    Index from = 0;
+    std::vector<Entry> entries;
+    bool writes() const { return vote || snapshot || from > 0; }
+    // 2. Say stored(), then send.
+    std::vector<Message> messages;
+    // 3. Apply: first the state as of `restored`, where given, then these.
+    std::optional<Snapshot> restored;
+    std::vector<Committed> committed;
+    // 4. Questions that have been answered by a majority: what was committed before each was asked is
+    // applied.
+    std::vector<std::uint64_t> confirmed;
+    bool retired = false;  // this life is over: the folder is to be emptied, and a new life begun
+};
+
+class Keeper {
+public:
+    enum class Role { follower, prevoting, candidate, leader };
+
+    // `stored` with an id; `draw` is any number that no other run drew. Throws Broken if the log makes no
+    // sense.
+    Keeper(const Settings& settings, Stored stored, Millis now, std::uint64_t draw);
+
+    void tick(Millis now);
+    Millis due() const;  // of the next tick
+    void heard(Millis now, const Message& message);
+
+    // For the leader only. The index it will have if it is ever committed; none: not the leader, or too long.
+    std::optional<Index> propose(std::string data);
+    // A question that needs this keeper to be the leader still: `confirmed` names it once a majority has
+    // acknowledged a round begun after now. False: not the leader, or not ready(leads()).
+    bool confirm(std::uint64_t question);
+    // Drops a member for good or takes one up that asks to join. False: not now (not the leader, a change is
+    // on its way, the last member, or this keeper itself).
+    bool remove(std::uint32_t number);
+    // All up to `index` is in `data`, which the caller has applied.
+    void compact(Index index, std::string data);
+
+    bool ready() const;
+    Ready take();
+    void stored();
+
+    KeeperId id() const { return id_; }
+    Role role() const { return role_; }
+    Term term() const { return term_; }
+    KeeperId voted() const { return voted_; }
+    const Snapshot& snapshot() const { return snapshot_; }
+    const std::vector<Entry>& log() const { return log_; }  // from first() on
+    // Leads, and all that earlier terms committed is committed here.
+    bool leads() const { return role_ == Role::leader && commit_ >= term_start_; }
+    KeeperId leader() const { return leader_; }
+    std::optional<std::uint32_t> leader_number() const;
+    Index commit() const { return commit_; }
+    Index last() const { return snapshot_.index + log_.size(); }
+    Index first() const { return snapshot_.index + 1; }
+    const Members& members() const { return members_; }
+    bool changing() const { return members_at_ > commit_; }
+    bool member() const { return find(id_) != nullptr; }
+    bool retired() const { return retired_; }
+    // Of a leader: how far each member has stored, and when it was last heard.
+    struct Peer {
+        Index match = 0, next = 1;
+        std::size_t out_bytes = 0;  // sent beyond match
+        std::uint64_t round = 0;    // the newest acknowledged
+        Millis heard = 0, snapshot_at = 0;
+        bool active = false;             // heard in this term
+        std::uint64_t match_starts = 0;  // the run that told of `match`
+    };
+    const std::map<KeeperId, Peer>& peers() const { return peers_; }
+
+    struct Counts {
+        std::uint64_t elections = 0, led = 0, dropped = 0, snapshots_sent = 0, rolled_back = 0;
+    };
+    const Counts& counts() const { return counts_; }
+
+private:
+    struct Seen {  // of another id
+        Run run;
+        Term term = 0;
+    };
+    struct Question {
+        std::uint64_t number, round;
+    };
+    const Member* find(KeeperId id) const;
+    bool voter(KeeperId id) const;
+    std::size_t majority() const;
+    Term term_at(Index index) const;  // of snapshot_.index to last()
+    Entry& at(Index index) { return log_[index - first()]; }
+    bool as_new(const Message& message) const;
+    bool hears_leader(Millis now) const;
+
+    void append(Entry entry);
+    void truncate(Index from);
+    void read_members();  // the newest in the log
+    void follow(Millis now, Term term, KeeperId leader);
+    void set_election(Millis now);
+    void stand(Millis now, bool for_real);
+    void count_votes(Millis now);
+    void lead(Millis now);
+    void broadcast(Millis now, bool again = false);  // `again`: what got no word since the last heartbeat
+    void send_entries(KeeperId to, bool even_if_empty);
+    void on_append(Millis now, const Message& m);
+    void on_snapshot(Millis now, const Message& m);
+    void on_appended(Millis now, const Message& m);
+    void on_join(Millis now, const Message& m);
+    bool rolled_back(const Message& m);
+    void maybe_commit();
+    void look_at_rounds();
+    void change(Millis now, const Members& to);
+    void look_after_members(Millis now);
+    Message message(Message::Kind kind, KeeperId to) const;
+    Message reply(Message::Kind kind, const Message& to) const;
+    std::uint64_t draw();
+
+    Settings settings_;
+    const KeeperId id_;
+    const Run run_;
+    std::uint64_t lots_;
+    Term term_;
+    KeeperId voted_;
+    Snapshot snapshot_;
+    std::vector<Entry> log_;  // from first() on
+    Members members_;
+    Index members_at_ = 0;  // of the entry they are from, or the snapshot's
+    Index commit_, applied_, kept_;
+    Index unkept_from_ = 0;  // the lowest entry to be kept anew; 0: none
+    Index keeping_to_ = 0;
+    bool taken_ = false, vote_changed_ = false, snapshot_changed_ = false, restored_ = false,
+         retired_ = false, retired_told_ = false;
+
+    Role role_ = Role::follower;
+    KeeperId leader_ = kNobody;
+    Millis leader_heard_ = -1e18, election_due_ = 0, heartbeat_due_ = 0, join_due_ = 0, now_ = 0;
+    std::map<KeeperId, bool> votes_;
+    std::map<KeeperId, Peer> peers_;
+    std::map<KeeperId, Seen> seen_;  // bounded by what members and joiners there are
+    struct Joiner {
+        KeeperId id;
+        Millis heard;
+    };
+    std::map<std::uint32_t, Joiner> joiners_;
+    Index term_start_ = 0;
+    std::uint64_t round_ = 0, tick_round_ = 0;  // the newest; the one that the last heartbeat began
+    bool round_wanted_ = false;
+    std::vector<Question> questions_;
+    std::vector<std::uint64_t> confirmed_;
+    std::vector<Message> out_;
+    Counts counts_;
+};
+
+// What a founder's folder holds before its first start: all of `numbers` are members.
+Stored founded(std::uint64_t fleet, std::uint32_t number, std::uint32_t keepers);
+// What the folder of a later life holds, with an id drawn by the caller (kFirstDrawn or more).
+Stored newcomer(std::uint64_t fleet, KeeperId id);
+
+}  // namespace cobaltshift::agree
--- /dev/null
+++ b/src/agree/types.hpp
@@ -0,0 +1,93 @@
+// What keepers agree on and what they say to one another. Entry type of the package: Keeper (keeper.hpp).
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cobaltshift::agree {
+
+using Millis = double;  // of the keeper's own steady clock; never compared with another's
+using Term = std::uint64_t;
+using Index = std::uint64_t;  // of an entry, from 1
+
+// Of one life of a keeper: a folder's. Founders have their number + 1, later lives a drawn one from
+// kFirstDrawn on. Whoever lost its folder is somebody else: it can't vote as the one it was.
+using KeeperId = std::uint64_t;
+constexpr KeeperId kNobody = 0, kFirstDrawn = 1ULL << 32;
+
+constexpr std::size_t kMaxMembers = 9, kMaxEntryBytes = 64 * 1024, kMaxSnapshotBytes = 8 * 1024 * 1024,
+                      kMaxEntriesInMessage = 4096, kMaxMessageBytes = kMaxSnapshotBytes + 64 * 1024;
+
+struct Member {
+    KeeperId id = kNobody;
+    std::uint32_t number = 0;  // its place in everybody's settings
+    bool voter = true;         // else it is catching up
+    bool operator==(const Member&) const = default;
+};
+using Members = std::vector<Member>;
+
+struct Entry {
+    enum class Kind : std::uint8_t { nothing, data, members };
+    Term term = 0;
+    Kind kind = Kind::nothing;
+    std::string data;  // of `members`: encode(Members)
+    bool operator==(const Entry&) const = default;
+};
+
+// All that the entries up to `index` have led to.
+struct Snapshot {
+    Index index = 0;
+    Term term = 0;
+    Members members;
+    std::string data;
+    bool operator==(const Snapshot&) const = default;
+};
+
+// One run of a keeper's process: its folder's count of starts, and a drawn number.
+struct Run {
+    std::uint64_t starts = 0, draw = 0;
+    bool operator==(const Run&) const = default;
+};
+
+struct Message {
+    enum class Kind : std::uint8_t {
+        ask_prevote,  // index, log_term: the sender's last entry; term: the one it would stand for
+        prevote,      // ok; term: the one asked for, or a refuser's own
+        ask_vote,     // index, log_term: the sender's last entry
+        vote,         // ok
+        append,       // index, log_term: the entry before `entries`; commit, round
+        appended,     // ok: all up to index is stored; else index is where the leader may try; last, round
+        snapshot,     // snapshot, round
+        join,         // to nobody in particular: the sender is new and would be a member
+        gone,         // the receiver, in the run named, is no member, or has an older folder than it had
+    };
+    Kind kind = Kind::append;
+    std::uint64_t fleet = 0;  // messages of another fleet are dropped
+    KeeperId from = kNobody, to = kNobody;
+    std::uint32_t number = 0;     // the sender's
+    std::uint32_t to_number = 0;  // the receiver's place: for whoever carries it, not on the wire
+    Run run;                      // the sender's; of `gone`: the receiver's
+    Term term = 0;
+    Index index = 0, commit = 0, last = 0;
+    Term log_term = 0;
+    std::uint64_t round = 0;
+    bool ok = false;
+    std::vector<Entry> entries;
+    std::shared_ptr<const Snapshot> snapshot;
+};
+
+// What a keeper's folder holds.
+struct Stored {
+    std::uint64_t fleet = 0;
+    KeeperId id = kNobody;
+    std::uint64_t starts = 0;
+    Term term = 0;
+    KeeperId voted = kNobody;
+    Snapshot snapshot;
+    std::vector<Entry> entries;  // from snapshot.index + 1 on
+};
+
+}  // namespace cobaltshift::agree
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -101,6 +101,7 @@
     CLI::App* replayed =
         app.add_subcommand("replay", "plays one day of the world and shows what broke a rule");
     replayed->add_option("SEED", again.seed, "of a drawn day");
+    replayed->add_flag("--lease", again.lease, "the seed is of a day of keepers and holders");
     replayed->add_option("--case", again.file, "plays the case in this file instead");
     replayed->add_flag("--all", again.all, "prints all that happens");
     replayed->add_flag("--shrink", again.shorten, "looks for a smaller case that breaks the same rule");
--- a/src/lab/scenarios.cpp
+++ b/src/lab/scenarios.cpp
@@ -1,5 +1,6 @@
 // The table of scenarios. Each is a command of cobaltshift-lab under its name.
 #include "lab/cost.hpp"
+#include "lab/lease_world.hpp"
 #include "lab/planners.hpp"
 #include "lab/scenario.hpp"
 #include "lab/sim_world.hpp"
@@ -9,6 +10,8 @@
 const std::vector<Scenario>& scenarios() {
     static const std::vector<Scenario> all = {
         {"plan-world", "500 (quick) or 20,000 days of faults in virtual time: no rule is broken", plan_world},
+        {"lease-world", "2,000 (quick) or 20,000 days of keepers and holders: no two ever act at once",
+         lease_world},
         {"planners", "real forwarders and planners, these killed and restarted under load", planners},
         {"plan-path", "from a server's first failure to the first request spared, part by part", plan_path},
         {"cost", "what a request costs one forwarder: straight against through, in one run", cost},
--- a/src/lab/sim_world.hpp
+++ b/src/lab/sim_world.hpp
@@ -2,9 +2,12 @@
 #pragma once
 
 #include "lab/scenario.hpp"
+#include "sim/scene.hpp"
 
 namespace cobaltshift::lab {
 
+// Each day played whole by one thread, whichever is free.
+std::vector<sim::Played> play_all(const std::vector<sim::Case>& days);
 // Drawn days; no rule is broken.
 Result plan_world(const Run& run);
 // Plays the day of a seed, or of a case's file, and prints what its findings' subjects went through, or with
@@ -12,6 +15,7 @@
 // a name is given, written there. Exit code: 0 no rule is broken, 1 one is, 2 the file can't be read.
 struct Replay {
     std::uint64_t seed = 1;
+    bool lease = false;  // the seed is of a day of keepers and holders
     std::string file, write;
     bool all = false, shorten = false;
 };
--- /dev/null
+++ b/src/lease/codec.cpp
@@ -0,0 +1,210 @@
+#include "lease/codec.hpp"
+
+#include "store/fields.hpp"
+#include "store/sealed.hpp"
+
+namespace cobaltshift::lease {
+
+namespace {
+
+using protozero::pbf_writer;
+using store::Fields;
+using store::Unreadable;
+
+constexpr std::uint64_t kFormat = 1;
+constexpr std::size_t kMaxText = 4 * 1024 * 1024;
+
+void words(pbf_writer& w, std::uint32_t tag, const std::string& text) {
+    if (!text.empty()) w.add_bytes(tag, text);
+}
+
+// Reads the body of something sealed; `take` is given each field and says whether it knew it.
+template <class What, class Take>
+std::optional<What> read(std::string_view bytes, std::size_t most, std::string& why, Take take) {
+    why.clear();
+    if (bytes.size() > most) return why = "it is too long", std::nullopt;
+    const auto body = store::unsealed(bytes);
+    if (!body) return why = "its checksum is not its own", std::nullopt;
+    What what;
+    std::uint64_t format = 0;
+    try {
+        Fields f(*body);
+        while (f.next()) {
+            if (f.tag() == 1)
+                format = f.number("format");
+            else if (!take(what, f))
+                f.skip();
+        }
+        if (format != kFormat) throw Unreadable("its format is " + std::to_string(format));
+    } catch (const Unreadable& fault) {
+        return why = fault.what(), std::nullopt;
+    }
+    return what;
+}
+
+}  // namespace
+
+std::string encode(const Question& q) {
+    std::string bytes;
+    pbf_writer w(bytes);
+    w.add_uint64(1, kFormat);
+    w.add_uint32(2, static_cast<std::uint32_t>(q.kind));
+    w.add_uint64(3, q.holder);
+    w.add_uint64(4, q.number);
+    words(w, 5, q.name);
+    words(w, 6, q.task);
+    w.add_uint64(7, q.fence);
+    w.add_double(8, q.length);
+    w.add_bool(9, q.wait);
+    words(w, 10, q.next);
+    return store::sealed(std::move(bytes));
+}
+
+std::optional<Question> decode_question(std::string_view bytes, std::string& why) {
+    auto question = read<Question>(bytes, kMaxQuestionBytes, why, [](Question& q, Fields& f) {
+        switch (f.tag()) {
+            case 2:
+                q.kind = static_cast<Question::Kind>(
+                    f.number("kind", static_cast<std::uint64_t>(Question::Kind::list)));
+                return true;
+            case 3:
+                q.holder = f.number("holder");
+                return true;
+            case 4:
+                q.number = f.number("number");
+                return true;
+            case 5:
+                q.name = f.text("name", kMaxName);
+                return true;
+            case 6:
+                q.task = f.text("task", kMaxName);
+                return true;
+            case 7:
+                q.fence = f.number("fence");
+                return true;
+            case 8:
+                q.length = f.real("length", kShortest, kLongest);
+                return true;
+            case 9:
+                q.wait = f.flag("wait");
+                return true;
+            case 10:
+                q.next = f.text("next", kMaxName);
+                return true;
+            default:
+                return false;
+        }
+    });
+    if (question && question->holder == 0) return why = "it is nobody's", std::nullopt;
+    if (question && question->task.empty() && question->kind != Question::Kind::list)
+        return why = "the task is missing", std::nullopt;
+    return question;
+}
+
+std::string encode(const Answer& a) {
+    std::string bytes;
+    pbf_writer w(bytes);
+    w.add_uint64(1, kFormat);
+    w.add_uint32(2, static_cast<std::uint32_t>(a.kind));
+    w.add_uint64(3, a.holder);
+    w.add_uint64(4, a.number);
+    words(w, 5, a.task);
+    w.add_uint64(6, a.fence);
+    w.add_double(7, a.length);
+    w.add_uint32(8, a.place);
+    words(w, 9, a.by);
+    words(w, 10, a.text);
+    return store::sealed(std::move(bytes));
+}
+
+std::optional<Answer> decode_answer(std::string_view bytes, std::string& why) {
+    return read<Answer>(bytes, kMaxText + 1024, why, [](Answer& a, Fields& f) {
+        switch (f.tag()) {
+            case 2:
+                a.kind = static_cast<Answer::Kind>(
+                    f.number("kind", static_cast<std::uint64_t>(Answer::Kind::listed)));
+                return true;
+            case 3:
+                a.holder = f.number("holder");
+                return true;
+            case 4:
+                a.number = f.number("number");
+                return true;
+            case 5:
+                a.task = f.text("task", kMaxName);
+                return true;
+            case 6:
+                a.fence = f.number("fence");
+                return true;
+            case 7:
+                a.length = f.real("length", 0, kLongest);
+                return true;
+            case 8:
+                a.place = static_cast<std::uint32_t>(f.number("place", UINT32_MAX));
+                return true;
+            case 9:
+                a.by = f.text("by", kMaxName);
+                return true;
+            case 10:
+                a.text = f.text("text", kMaxText);
+                return true;
+            default:
+                return false;
+        }
+    });
+}
+
+std::string encode(const Op& op) {
+    std::string bytes;
+    pbf_writer w(bytes);
+    w.add_uint32(1, static_cast<std::uint32_t>(op.kind));
+    words(w, 2, op.task);
+    w.add_uint64(3, op.holder);
+    words(w, 4, op.name);
+    w.add_uint64(5, op.fence);
+    w.add_double(6, op.length);
+    w.add_bool(7, op.wait);
+    words(w, 8, op.next);
+    return bytes;
+}
+
+std::optional<Op> decode_op(std::string_view bytes) {
+    Op op;
+    try {
+        Fields f(bytes);
+        while (f.next()) switch (f.tag()) {
+                case 1:
+                    op.kind = static_cast<Op::Kind>(
+                        f.number("kind", static_cast<std::uint64_t>(Op::Kind::withdraw)));
+                    break;
+                case 2:
+                    op.task = f.text("task", kMaxName);
+                    break;
+                case 3:
+                    op.holder = f.number("holder");
+                    break;
+                case 4:
+                    op.name = f.text("name", kMaxName);
+                    break;
+                case 5:
+                    op.fence = f.number("fence");
+                    break;
+                case 6:
+                    op.length = f.real("length", 0, kLongest);
+                    break;
+                case 7:
+                    op.wait = f.flag("wait");
+                    break;
+                case 8:
+                    op.next = f.text("next", kMaxName);
+                    break;
+                default:
+                    f.skip();
+            }
+    } catch (const Unreadable&) {
+        return {};
+    }
+    return op;
+}
+
+}  // namespace cobaltshift::lease
--- /dev/null
+++ b/src/lease/holder.cpp
@@ -0,0 +1,199 @@
+#include "lease/holder.hpp"
+
+#include <algorithm>
+
+namespace cobaltshift::lease {
+
+namespace {
+constexpr double kRenewAfter = 1.0 / 3, kSpread = 0.2;  // of the length; of each pause, both ways
+constexpr Millis kFirstPause = 50;
+}  // namespace
+
+Holder::Holder(const HolderSettings& settings, std::uint64_t draw)
+    : settings_(settings),
+      lots_(draw),
+      keeper_(static_cast<std::uint32_t>(draw % std::max(1U, settings.keepers))) {}
+
+double Holder::unit() {  // SplitMix64
+    std::uint64_t h = lots_ += 0x9e3779b97f4a7c15;
+    h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9;
+    h = (h ^ (h >> 27)) * 0x94d049bb133111eb;
+    return static_cast<double>((h ^ (h >> 31)) >> 11) * 0x1.0p-53;
+}
+
+void Holder::want(Millis now, const std::string& task, Millis length, bool wait) {
+    Wanted& one = wanted_[task];
+    one.length = std::clamp(length, kShortest, kLongest);
+    one.wait = wait;
+    if (one.releasing) one.releasing = false, one.right = {};
+    one.due = now;
+}
+
+void Holder::give_up(Millis now, const std::string& task, const std::string& next) {
+    const auto at = wanted_.find(task);
+    if (at == wanted_.end()) return;
+    Wanted& one = at->second;
+    // What may be held by a question on its way is given back too, once its answer tells the fence.
+    one.releasing = true;
+    one.next = next;
+    one.release_until = std::max(one.right.until, one.asked_at + one.length);
+    one.right.until = -1;
+    one.pause = 0;
+    if (one.right.fence == 0 && !one.outstanding && !one.queued) {
+        wanted_.erase(at);
+        return;
+    }
+    if (one.right.fence != 0 || !one.outstanding) one.due = now;
+}
+
+Millis Holder::due() const {
+    Millis due = 1e18;
+    for (const auto& [task, one] : wanted_) due = std::min(due, one.due);
+    return due;
+}
+
+void Holder::ask(Millis now, const std::string& task, Wanted& one) {
+    Question q;
+    q.kind = one.releasing ? Question::Kind::release : Question::Kind::want;
+    q.holder = settings_.id;
+    q.number = one.number = next_number_++;
+    q.name = settings_.name;
+    q.task = task;
+    q.fence = one.right.fence;
+    q.length = one.length;
+    q.wait = one.wait;
+    if (one.releasing) q.next = one.next;
+    one.asked_at = now;
+    one.outstanding = true;
+    one.due = now + settings_.answer * (1 + kSpread * (2 * unit() - 1));
+    ++counts_.questions;
+    out_.push_back({keeper_, std::move(q)});
+}
+
+void Holder::tick(Millis now) {
+    for (auto at = wanted_.begin(); at != wanted_.end();) {
+        Wanted& one = at->second;
+        if (!one.releasing && one.right.fence != 0 && one.right.until <= now && one.right.until >= 0) {
+            ++counts_.ended;
+            one.right = {};
+            one.counted = false;
+        }
+        if (now < one.due) {
+            ++at;
+            continue;
+        }
+        if (one.releasing && now >= one.release_until) {  // it has ended by itself
+            at = wanted_.erase(at);
+            continue;
+        }
+        if (one.outstanding) {
+            // No answer: another keeper, after a pause that grows, lest all who ask come together.
+            one.outstanding = false;
+            ++counts_.unanswered;
+            keeper_ = (keeper_ + 1) % std::max(1U, settings_.keepers);
+            one.pause = std::min(settings_.longest_pause, std::max(kFirstPause, 2 * one.pause));
+            one.due = now + one.pause * unit();
+            if (one.due > now) {
+                ++at;
+                continue;
+            }
+        }
+        ask(now, at->first, one);
+        ++at;
+    }
+}
+
+void Holder::heard(Millis now, const Answer& a) {
+    const auto at = wanted_.find(a.task);
+    if (a.holder != settings_.id || at == wanted_.end() || a.number != at->second.number) return;
+    Wanted& one = at->second;
+    one.last = a;
+    one.outstanding = false;
+    if (a.kind == Answer::Kind::elsewhere) {
+        // To whom it names; if it knows nobody, the next one, and not at once.
+        if (a.place < settings_.keepers && a.place != keeper_) {
+            keeper_ = a.place;
+            one.due = now + 5 * unit();
+        } else {
+            keeper_ = (keeper_ + 1) % std::max(1U, settings_.keepers);
+            one.pause = std::min(settings_.longest_pause, std::max(kFirstPause, 2 * one.pause));
+            one.due = now + one.pause * (0.5 + unit() / 2);
+        }
+        return;
+    }
+    one.pause = 0;
+    const double spread = 1 + kSpread * (2 * unit() - 1);
+    switch (a.kind) {
+        case Answer::Kind::held:
+            one.queued = false;
+            if (one.releasing) {  // given up while it was on its way: now its fence is known
+                one.right.fence = a.fence;
+                one.due = now;
+                return;
+            }
+            if (one.right.fence != a.fence) one.counted = false;
+            one.right.fence = a.fence;
+            one.right.until = one.asked_at + a.length - settings_.margin;
+            if (one.right.until <= now) one.right = {};
+            if (one.right.fence != 0) {
+                ++(one.counted ? counts_.renewed : counts_.gained);
+                one.counted = true;
+            }
+            one.due = std::max(now, one.asked_at + a.length * kRenewAfter * spread);
+            return;
+        case Answer::Kind::queued:
+            one.queued = true;
+            one.due = now + settings_.poll * spread;
+            return;
+        case Answer::Kind::lost:
+            if (one.releasing) {
+                wanted_.erase(at);
+                return;
+            }
+            if (one.right.fence != 0) ++counts_.lost;
+            one.right = {};
+            one.counted = false;
+            one.due = now + kFirstPause * spread;
+            return;
+        case Answer::Kind::done:
+            if (one.releasing) wanted_.erase(at);
+            return;
+        default:  // refused, full
+            if (one.releasing) {
+                wanted_.erase(at);
+                return;
+            }
+            one.right = {};
+            one.counted = false;
+            one.due = now + settings_.poll * spread;
+    }
+}
+
+std::vector<Holder::Ask> Holder::take() {
+    std::vector<Ask> out;
+    out.swap(out_);
+    return out;
+}
+
+std::optional<Holder::Right> Holder::right(Millis now, const std::string& task) const {
+    const auto at = wanted_.find(task);
+    if (at == wanted_.end() || at->second.releasing || at->second.right.fence == 0 ||
+        now >= at->second.right.until)
+        return {};
+    return at->second.right;
+}
+
+Holder::State Holder::state(const std::string& task) const {
+    const auto at = wanted_.find(task);
+    if (at == wanted_.end()) return State::idle;
+    if (at->second.releasing) return State::releasing;
+    if (at->second.right.fence != 0) return State::held;
+    return at->second.queued ? State::waiting : State::asking;
+}
+
+const Answer* Holder::last(const std::string& task) const {
+    const auto at = wanted_.find(task);
+    return at == wanted_.end() ? nullptr : &at->second.last;
+}
+
+}  // namespace cobaltshift::lease
--- /dev/null
+++ b/src/lease/office.cpp
@@ -0,0 +1,371 @@
+#include "lease/office.hpp"
+
+#include <algorithm>
+
+#include "lease/codec.hpp"
+
+namespace cobaltshift::lease {
+
+namespace {
+constexpr Millis kLookAtWaiters = 500;
+constexpr std::size_t kNewestMost = 20000;  // holders whose last question's number is remembered
+constexpr std::size_t kListedMost = 2000;
+}  // namespace
+
+Office::Office(const OfficeSettings& settings, agree::Stored stored, Millis now, std::uint64_t draw)
+    : settings_(settings), keeper_(settings.agree, std::move(stored), now, draw), now_(now) {}
+
+void Office::heard(Millis now, const agree::Message& message) {
+    now_ = now;
+    keeper_.heard(now, message);
+    if (leads_ && (!keeper_.leads() || keeper_.term() != led_term_)) end_to_lead();
+}
+
+Millis Office::due() const {
+    Millis due = keeper_.due();
+    if (!leads_) return due;
+    if (!lapses_.empty()) due = std::min(due, lapses_.begin()->first);
+    return std::min(due, waiters_due_);
+}
+
+void Office::tick(Millis now) {
+    now_ = now;
+    keeper_.tick(now);
+    if (leads_ && (!keeper_.leads() || keeper_.term() != led_term_)) end_to_lead();
+    if (!leads_) return;
+    while (!lapses_.empty() && lapses_.begin()->first <= now) {
+        const std::string task = lapses_.begin()->second;
+        lapses_.erase(lapses_.begin());
+        Held& held = held_.at(task);
+        held.lapsing = true;
+        // Whoever waits and has been silent is passed over, or the right would be nobody's for another
+        // length.
+        withdraw_silent(now, task, settings_.waiter_silence / 2);
+        Op op;
+        op.kind = Op::Kind::lapse;
+        op.task = task;
+        op.fence = held.fence;
+        propose(op);
+        ++counts_.lapses;
+    }
+    if (now < waiters_due_) return;
+    waiters_due_ = now + kLookAtWaiters;
+    for (const auto& [name, task] : book_.tasks()) withdraw_silent(now, name, settings_.waiter_silence);
+    std::erase_if(asking_,
+                  [&](const auto& at) { return now >= at.second.at + 2 * settings_.waiter_silence; });
+    std::erase_if(newest_, [&](const auto& at) { return now >= at.second.second + 120000; });
+}
+
+void Office::withdraw_silent(Millis now, const std::string& name, Millis silence) {
+    const Book::Task* task = book_.find(name);
+    if (!task) return;
+    for (const Book::Waiter& waiter : task->queue) {
+        Heard& heard = asking_[{name, waiter.holder}];
+        if (heard.at == 0) heard.at = now;  // in the queue before this keeper led
+        if (now < heard.at + silence) continue;
+        heard.at = now;
+        Op op;
+        op.kind = Op::Kind::withdraw;
+        op.task = name;
+        op.holder = waiter.holder;
+        propose(op);
+    }
+}
+
+// ---- Questions -------------------------------------------------------------------------------------------
+
+void Office::say(Client client, const Question& question, Answer answer) {
+    answer.holder = question.holder;
+    answer.number = question.number;
+    answer.task = question.task;
+    replies_.push_back({client, std::move(answer)});
+}
+
+bool Office::propose(Op op) { return keeper_.propose(encode(op)).has_value(); }
+
+void Office::asked(Millis now, Client client, const Question& question) {
+    now_ = now;
+    ++counts_.questions;
+    Answer answer;
+    if (!leads_ || !keeper_.leads()) {
+        answer.kind = Answer::Kind::elsewhere;
+        if (!leads_ && keeper_.role() != agree::Keeper::Role::leader)
+            answer.place = keeper_.leader_number().value_or(Answer::kUnknown);
+        ++counts_.elsewhere;
+        return say(client, question, answer);
+    }
+    if (question.kind == Question::Kind::list) {
+        answer.kind = Answer::Kind::listed;
+        answer.text = listed(question.task, now);
+        return say(client, question, answer);
+    }
+    // Doubled, or late: its holder has asked something newer since.
+    auto newest = newest_.find(question.holder);
+    if (newest == newest_.end()) {
+        if (newest_.size() >= kNewestMost) newest_.erase(newest_.begin());
+        newest = newest_.try_emplace(question.holder).first;
+    }
+    if (question.number <= newest->second.first) {
+        ++counts_.dropped;
+        return;
+    }
+    newest->second = {question.number, now};
+    switch (question.kind) {
+        case Question::Kind::want:
+            return want(now, client, question);
+        case Question::Kind::release: {
+            const Book::Task* task = book_.find(question.task);
+            if (!task || task->holder != question.holder || task->fence != question.fence) {
+                if (task && std::any_of(task->queue.begin(), task->queue.end(),
+                                        [&](const Book::Waiter& w) { return w.holder == question.holder; })) {
+                    Op op;
+                    op.kind = Op::Kind::withdraw;
+                    op.task = question.task;
+                    op.holder = question.holder;
+                    propose(op);
+                }
+                answer.kind = Answer::Kind::lost;
+                return say(client, question, answer);
+            }
+            Op op;
+            op.kind = Op::Kind::release;
+            op.task = question.task;
+            op.holder = question.holder;
+            op.fence = question.fence;
+            op.next = question.next;
+            if (propose(op)) ending_[{question.task, question.holder}] = {client, question.number};
+            return;
+        }
+        case Question::Kind::revoke: {
+            const Book::Task* task = book_.find(question.task);
+            if (!task || (question.fence != 0 && task->fence != question.fence)) {
+                answer.kind = Answer::Kind::lost;
+                return say(client, question, answer);
+            }
+            Op op;
+            op.kind = Op::Kind::revoke;
+            op.task = question.task;
+            op.holder = question.holder;
+            op.fence = task->fence;
+            if (propose(op)) ending_[{question.task, question.holder}] = {client, question.number};
+            return;
+        }
+        case Question::Kind::list:
+            return;
+    }
+}
+
+void Office::want(Millis now, Client client, const Question& question) {
+    const Book::Task* task = book_.find(question.task);
+    Answer answer;
+    if (task && task->holder == question.holder) {
+        const auto held = held_.find(question.task);
+        if (task->revoked || held == held_.end() || held->second.lapsing) {
+            answer.kind = Answer::Kind::lost;
+            answer.fence = task->fence;
+            return say(client, question, answer);
+        }
+        if (renewals_.size() >= settings_.questions || !keeper_.confirm(next_question_)) return;
+        renewals_[next_question_++] = {client, question.holder, question.number, question.task, task->fence};
+        return;
+    }
+    if (task && !question.wait) {
+        answer.kind = Answer::Kind::refused;
+        answer.by = task->name;
+        return say(client, question, answer);
+    }
+    Heard& heard = asking_[{question.task, question.holder}];
+    heard.at = now;
+    heard.asker = {client, question.number};
+    if (task)
+        for (std::size_t i = 0; i < task->queue.size(); ++i)
+            if (task->queue[i].holder == question.holder) {
+                answer.kind = Answer::Kind::queued;
+                answer.place = static_cast<std::uint32_t>(i);
+                answer.by = task->name;
+                return say(client, question, answer);
+            }
+    Op op;
+    op.kind = Op::Kind::want;
+    op.task = question.task;
+    op.holder = question.holder;
+    op.name = question.name;
+    op.length = question.length;
+    op.wait = question.wait;
+    propose(op);
+}
+
+// The majority's word has come: this keeper led after the question came.
+void Office::confirmed(Millis now, std::uint64_t question) {
+    const auto at = renewals_.find(question);
+    if (at == renewals_.end()) return;
+    const Renewal renewal = std::move(at->second);
+    renewals_.erase(at);
+    Question q;
+    q.holder = renewal.holder;
+    q.number = renewal.number;
+    q.task = renewal.task;
+    Answer answer;
+    answer.fence = renewal.fence;
+    const Book::Task* task = book_.find(renewal.task);
+    const auto held = held_.find(renewal.task);
+    if (!task || task->holder != renewal.holder || task->fence != renewal.fence || task->revoked ||
+        held == held_.end() || held->second.lapsing) {
+        answer.kind = Answer::Kind::lost;
+    } else {
+        set_until(renewal.task, held->second, now + wait_for(task->length, settings_.drift));
+        answer.kind = Answer::Kind::held;
+        answer.length = task->length;
+        ++counts_.renewals;
+    }
+    say(renewal.client, q, answer);
+}
+
+// ---- Applying --------------------------------------------------------------------------------------------
+
+void Office::set_until(const std::string& task, Held& held, Millis until) {
+    lapses_.erase({held.until, task});
+    held.until = std::max(held.until, until);
+    lapses_.insert({held.until, task});
+}
+
+void Office::forget(const std::string& task) {
+    const auto at = held_.find(task);
+    if (at == held_.end()) return;
+    lapses_.erase({at->second.until, task});
+    held_.erase(at);
+}
+
+void Office::give(Millis now, const std::string& task, const Book::Task& held) {
+    forget(task);
+    Held& mine = held_[task];
+    mine.fence = held.fence;
+    set_until(task, mine, now + wait_for(held.length, settings_.drift));
+}
+
+void Office::apply(Millis now, const agree::Committed& one) {
+    applied_ = one.index;
+    if (one.entry.kind != agree::Entry::Kind::data) return;
+    const auto op = decode_op(one.entry.data);
+    if (!op) throw agree::Broken("an operation in the log can't be read");
+    const Book::Effect effect = book_.apply(*op);
+    if (!leads_) return;
+    const Book::Task* task = book_.find(op->task);
+    if (!task)
+        forget(op->task);
+    else if (effect.outcome == Book::Outcome::granted)
+        give(now, op->task, *task);
+    Question q;
+    q.task = op->task;
+    Answer answer;
+    if (effect.outcome == Book::Outcome::granted) {
+        ++counts_.grants;
+        const auto asker = asking_.find({op->task, effect.to});
+        if (asker != asking_.end()) {
+            q.holder = effect.to;
+            q.number = asker->second.asker.number;
+            answer.kind = Answer::Kind::held;
+            answer.fence = effect.fence;
+            answer.length = task->length;
+            if (q.number != 0) say(asker->second.asker.client, q, answer);
+            asking_.erase(asker);
+        }
+    }
+    if (op->kind == Op::Kind::want && effect.outcome != Book::Outcome::granted) {
+        const auto asker = asking_.find({op->task, op->holder});
+        if (asker == asking_.end()) return;
+        q.holder = op->holder;
+        q.number = asker->second.asker.number;
+        const Client client = asker->second.asker.client;
+        answer = {};
+        if (effect.outcome == Book::Outcome::queued) {
+            answer.kind = Answer::Kind::queued;
+            answer.by = task->name;
+            answer.place = 0;
+            while (answer.place < task->queue.size() && task->queue[answer.place].holder != op->holder)
+                ++answer.place;
+        } else {
+            // `nothing`: it holds the task already, by an earlier one of its own; its next question renews
+            // it.
+            answer.kind = effect.outcome == Book::Outcome::refused ? Answer::Kind::refused
+                          : effect.outcome == Book::Outcome::full  ? Answer::Kind::full
+                                                                   : Answer::Kind::lost;
+            if (task) answer.by = task->name;
+            asking_.erase(asker);
+            if (effect.outcome == Book::Outcome::nothing) return;
+        }
+        return say(client, q, answer);
+    }
+    if (op->kind == Op::Kind::release || op->kind == Op::Kind::revoke) {
+        const auto asker = ending_.find({op->task, op->holder});
+        if (asker == ending_.end()) return;
+        q.holder = op->holder;
+        q.number = asker->second.number;
+        answer = {};
+        answer.kind = Answer::Kind::done;
+        answer.fence = op->fence;
+        const Client client = asker->second.client;
+        ending_.erase(asker);
+        say(client, q, answer);
+    }
+}
+
+// All that this leader's predecessors may have confirmed is waited out.
+void Office::begin_to_lead(Millis now) {
+    leads_ = true;
+    led_term_ = keeper_.term();
+    waiters_due_ = now + kLookAtWaiters;
+    for (const auto& [name, task] : book_.tasks()) give(now, name, task);
+}
+
+// Who asked is not told: another may have heard the same question since. They ask again.
+void Office::end_to_lead() {
+    leads_ = false;
+    held_.clear();
+    lapses_.clear();
+    asking_.clear();
+    ending_.clear();
+    renewals_.clear();
+    newest_.clear();
+}
+
+Office::Output Office::take(Millis now) {
+    now_ = now;
+    Output output;
+    output.ready = keeper_.take();
+    if (output.ready.restored) {
+        if (output.ready.restored->index > 0 && !output.ready.restored->data.empty() &&
+            !book_.load(output.ready.restored->data))
+            throw agree::Broken("a snapshot's book can't be read");
+        if (output.ready.restored->index == 0) book_ = {};
+        applied_ = output.ready.restored->index;
+    }
+    for (const agree::Committed& one : output.ready.committed) apply(now, one);
+    // After what was committed by others is applied, and not before an own entry is.
+    if (!leads_ && keeper_.leads() && applied_ == keeper_.commit()) begin_to_lead(now);
+    for (const std::uint64_t question : output.ready.confirmed) confirmed(now, question);
+    output.replies.swap(replies_);
+    if (applied_ >= keeper_.first() && applied_ - keeper_.first() + 1 >= settings_.compact_after)
+        keeper_.compact(applied_, book_.save());
+    return output;
+}
+
+std::string Office::listed(const std::string& prefix, Millis now) const {
+    std::string text;
+    std::size_t count = 0;
+    for (auto at = book_.tasks().lower_bound(prefix); at != book_.tasks().end(); ++at) {
+        if (!at->first.starts_with(prefix)) break;
+        if (++count > kListedMost) {
+            text += "...\n";
+            break;
+        }
+        const auto held = held_.find(at->first);
+        const Millis left = held == held_.end() ? 0 : std::max(0.0, held->second.until - now);
+        text += at->first + "\t" + at->second.name + "\t" + std::to_string(at->second.fence) + "\t" +
+                std::to_string(static_cast<long long>(left)) + "\t" +
+                std::to_string(at->second.queue.size()) + (at->second.revoked ? "\trevoked\n" : "\theld\n");
+    }
+    return text;
+}
+
+}  // namespace cobaltshift::lease
--- a/src/sim/stream.cpp
+++ b/src/sim/stream.cpp
@@ -1,6 +1,5 @@
 #include "sim/stream.hpp"
 
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace cobaltshift::sim {
--- /dev/null
+++ b/src/store/journal.cpp
@@ -0,0 +1,160 @@
+#include "store/journal.hpp"
+
+#include "agree/codec.hpp"
+#include "store/fields.hpp"
+#include "store/sealed.hpp"
+
+namespace cobaltshift::store {
+
+namespace {
+
+enum class Kind : std::uint8_t { life = 1, starts, vote, entry, snapshot };
+constexpr std::size_t kHead = 5 + kSealBytes;  // kind, length in four bytes, their seal
+
+std::string record(Kind kind, const std::string& body) {
+    std::string head(1, static_cast<char>(kind));
+    for (int i = 0; i < 4; ++i) head.push_back(static_cast<char>(body.size() >> 8 * i));
+    return sealed(std::move(head)) + sealed(body);
+}
+
+std::string pair_of(std::uint64_t first, std::uint64_t second) {
+    std::string bytes;
+    protozero::pbf_writer w(bytes);
+    w.add_uint64(1, first);
+    w.add_uint64(2, second);
+    return bytes;
+}
+
+struct Pair {
+    std::uint64_t first = 0, second = 0;
+    std::string_view rest;
+};
+Pair pair_from(std::string_view bytes, std::size_t most) {
+    Pair pair;
+    Fields f(bytes);
+    while (f.next()) switch (f.tag()) {
+            case 1:
+                pair.first = f.number("first");
+                break;
+            case 2:
+                pair.second = f.number("second");
+                break;
+            case 3:
+                pair.rest = f.bytes("rest", most);
+                break;
+            default:
+                f.skip();
+        }
+    return pair;
+}
+
+std::string entry_record(agree::Index index, const agree::Entry& entry) {
+    std::string bytes;
+    protozero::pbf_writer w(bytes);
+    w.add_uint64(1, index);
+    w.add_bytes(3, agree::encode(entry));
+    return record(Kind::entry, bytes);
+}
+
+}  // namespace
+
+std::string started(std::uint64_t starts) { return record(Kind::starts, pair_of(starts, 0)); }
+
+std::string records_of(const agree::Ready& ready) {
+    std::string bytes;
+    if (ready.vote) bytes += record(Kind::vote, pair_of(ready.vote->term, ready.vote->voted));
+    if (ready.from > 0) {
+        agree::Index index = ready.from;
+        for (const agree::Entry& entry : ready.entries) bytes += entry_record(index++, entry);
+        if (ready.entries.empty()) {  // the tail goes and nothing follows
+            std::string cut;
+            protozero::pbf_writer w(cut);
+            w.add_uint64(1, ready.from);
+            bytes += record(Kind::entry, cut);
+        }
+    }
+    return bytes;
+}
+
+std::string records_of(const agree::Stored& stored) {
+    std::string bytes = record(Kind::life, pair_of(stored.fleet, stored.id)) + started(stored.starts) +
+                        record(Kind::vote, pair_of(stored.term, stored.voted)) +
+                        record(Kind::snapshot, agree::encode(stored.snapshot));
+    agree::Index index = stored.snapshot.index + 1;
+    for (const agree::Entry& entry : stored.entries) bytes += entry_record(index++, entry);
+    return bytes;
+}
+
+Replayed replay(std::string_view bytes) {
+    Replayed result;
+    agree::Stored& s = result.stored;
+    if (bytes.empty()) return result;
+    result.found = Replayed::Found::whole;
+    bool life = false;
+    const auto spoilt = [&](const std::string& why) {
+        result.found = Replayed::Found::spoilt;
+        result.why = "at byte " + std::to_string(result.good) + ": " + why;
+        return result;
+    };
+    while (result.good < bytes.size()) {
+        const std::string_view left = bytes.substr(result.good);
+        if (left.size() < kHead) break;
+        const auto head = unsealed(left.substr(0, kHead));
+        if (!head) return spoilt("a record's head is not as it was written");
+        std::size_t length = 0;
+        for (int i = 0; i < 4; ++i)
+            length |= static_cast<std::size_t>(static_cast<unsigned char>((*head)[1 + i])) << 8 * i;
+        if (left.size() < kHead + length + kSealBytes) break;
+        const auto body = unsealed(left.substr(kHead, length + kSealBytes));
+        if (!body) return spoilt("a record is not as it was written");
+        try {
+            switch (static_cast<Kind>((*head)[0])) {
+                case Kind::life: {
+                    const Pair pair = pair_from(*body, 0);
+                    s.fleet = pair.first, s.id = pair.second, life = true;
+                    break;
+                }
+                case Kind::starts:
+                    s.starts = pair_from(*body, 0).first;
+                    break;
+                case Kind::vote: {
+                    const Pair pair = pair_from(*body, 0);
+                    s.term = pair.first, s.voted = pair.second;
+                    break;
+                }
+                case Kind::entry: {
+                    const Pair pair = pair_from(*body, agree::kMaxEntryBytes + 64);
+                    const agree::Index first = s.snapshot.index + 1;
+                    if (pair.first < first || pair.first > first + s.entries.size())
+                        return spoilt("an entry does not follow those before it");
+                    s.entries.resize(pair.first - first);
+                    if (pair.rest.empty()) break;
+                    const auto entry = agree::decode_entry(pair.rest);
+                    if (!entry) return spoilt("an entry can't be read");
+                    s.entries.push_back(*entry);
+                    break;
+                }
+                case Kind::snapshot: {
+                    auto snapshot = agree::decode_snapshot(*body);
+                    if (!snapshot) return spoilt("a snapshot can't be read");
+                    s.snapshot = std::move(*snapshot);
+                    s.entries.clear();
+                    break;
+                }
+                default:
+                    return spoilt("a record is of a newer format");
+            }
+        } catch (const Unreadable& fault) {
+            return spoilt(fault.what());
+        }
+        result.good += kHead + length + kSealBytes;
+    }
+    if (result.good < bytes.size()) result.found = Replayed::Found::torn;
+    if (!life) {  // cut short before anything was promised
+        result.found = Replayed::Found::nothing;
+        result.good = 0;
+    }
+    return result;
+}
+
+}  // namespace cobaltshift::store
--- /dev/null
+++ b/tests/lease_test.cpp
@@ -0,0 +1,672 @@
+// Agreement and rights in virtual time: each hard case by itself, brought about and looked at; hostile
+// messages; and days under every fault.
+#include <gtest/gtest.h>
+
+#include "agree/codec.hpp"
+#include "lease/codec.hpp"
+#include "lease/gate.hpp"
+#include "lease/holder.hpp"
+#include "lease/office.hpp"
+#include "sim/lease_days.hpp"
+#include "sim/models/holder.hpp"
+#include "sim/scene.hpp"
+#include "store/journal.hpp"
+#include "store/sealed.hpp"
+
+namespace cobaltshift {
+namespace {
+
+using agree::Keeper;
+using agree::Message;
+
+// Keepers wired straight to one another: what they keep lasts, what they send waits in `wire` until passed
+// on.
+struct Bench {
+    explicit Bench(std::uint32_t keepers) : count(keepers) {
+        for (std::uint32_t n = 0; n < keepers; ++n) disks.push_back(agree::founded(7, n, keepers));
+        all.resize(keepers);
+        for (std::uint32_t n = 0; n < keepers; ++n) start(n);
+    }
+    agree::Settings settings(std::uint32_t n) const {
+        agree::Settings s;
+        s.fleet = 7, s.number = n, s.keepers = count;
+        return s;
+    }
+    void start(std::uint32_t n) {
+        ++disks[n].starts;
+        all[n] = std::make_unique<Keeper>(settings(n), disks[n], now, 1000 + n + 100 * disks[n].starts);
+    }
+    void settle(std::uint32_t n) {
+        while (all[n] && all[n]->ready()) {
+            agree::Ready ready = all[n]->take();
+            agree::Stored& disk = disks[n];
+            if (ready.vote) disk.term = ready.vote->term, disk.voted = ready.vote->voted;
+            if (ready.snapshot) disk.snapshot = *ready.snapshot, disk.entries.clear();
+            if (ready.from > 0) {
+                disk.entries.resize(ready.from - disk.snapshot.index - 1);
+                disk.entries.insert(disk.entries.end(), ready.entries.begin(), ready.entries.end());
+            }
+            all[n]->stored();
+            for (Message& m : ready.messages) wire.push_back(std::move(m));
+            for (const auto& one : ready.committed) applied[n].push_back(one.entry.data);
+            for (const std::uint64_t q : ready.confirmed) confirmed.push_back(q);
+        }
+    }
+    bool passes(const Message& m) const { return !cut.count({m.number, m.to_number}); }
+    void flow() {  // until nothing is on its way
+        for (std::uint32_t n = 0; n < count; ++n) settle(n);
+        while (!wire.empty()) {
+            const Message m = std::move(wire.front());
+            wire.pop_front();
+            for (std::uint32_t n = 0; n < count; ++n) {
+                if (!all[n] || (m.kind == Message::Kind::join ? n == m.number : n != m.to_number)) continue;
+                Message to = m;
+                to.to_number = n;
+                if (!passes(to)) continue;
+                all[n]->heard(now, m);
+                settle(n);
+            }
+        }
+    }
+    void pass(double ms) {
+        for (const double end = now + ms; now < end; now += 20) {
+            for (auto& keeper : all)
+                if (keeper) keeper->tick(now);
+            flow();
+        }
+    }
+    int leader() const {
+        int found = -1;
+        for (std::uint32_t n = 0; n < count; ++n)
+            if (all[n] && all[n]->leads() && (found < 0 || all[n]->term() > all[found]->term()))
+                found = static_cast<int>(n);
+        return found;
+    }
+    void cut_off(std::uint32_t n) {
+        for (std::uint32_t other = 0; other < count; ++other) cut.insert({n, other}), cut.insert({other, n});
+    }
+
+    std::uint32_t count;
+    double now = 0;
+    std::vector<agree::Stored> disks;
+    std::vector<std::unique_ptr<Keeper>> all;
+    std::deque<Message> wire;
+    std::set<std::pair<std::uint32_t, std::uint32_t>> cut;
+    std::map<std::uint32_t, std::vector<std::string>> applied;
+    std::vector<std::uint64_t> confirmed;
+};
+
+TEST(Agreement, WhatIsProposedIsAppliedByAllInOneOrder) {
+    Bench bench(3);
+    bench.pass(3000);
+    const int leader = bench.leader();
+    ASSERT_GE(leader, 0);
+    for (int i = 0; i < 100; ++i) ASSERT_TRUE(bench.all[leader]->propose("entry " + std::to_string(i)));
+    bench.pass(300);
+    ASSERT_EQ(bench.applied[0].size(), 101U) << "and the leader's own first";
+    EXPECT_EQ(bench.applied[1], bench.applied[0]);
+    EXPECT_EQ(bench.applied[2], bench.applied[0]);
+    EXPECT_FALSE(bench.all[(leader + 1) % 3]->propose("from a follower"));
+    EXPECT_FALSE(bench.all[leader]->propose(std::string(agree::kMaxEntryBytes + 1, 'x')));
+}
+
+TEST(Agreement, ALeaderCutOffStepsDownAndItsTailGivesWay) {
+    Bench bench(3);
+    bench.pass(3000);
+    const int old = bench.leader();
+    bench.cut_off(old);
+    ASSERT_TRUE(bench.all[old]->propose("never agreed"));
+    bench.pass(6000);
+    EXPECT_FALSE(bench.all[old]->leads()) << "it hears no majority";
+    const int fresh = bench.leader();
+    ASSERT_GE(fresh, 0);
+    ASSERT_NE(fresh, old);
+    ASSERT_TRUE(bench.all[fresh]->propose("agreed"));
+    bench.pass(200);
+    bench.cut.clear();
+    const auto term = bench.all[fresh]->term();
+    bench.pass(3000);
+    EXPECT_EQ(bench.leader(), fresh) << "its return, sure of itself, unseats nobody (pre-vote)";
+    EXPECT_EQ(bench.all[fresh]->term(), term);
+    EXPECT_EQ(bench.applied[old].back(), "agreed");
+    EXPECT_EQ(bench.applied[old], bench.applied[fresh]);
+}
+
+TEST(Agreement, OneWayCutsInEveryDirectionEndWithALeader) {
+    for (std::uint32_t from = 0; from < 3; ++from)
+        for (std::uint32_t to = 0; to < 3; ++to) {
+            if (from == to) continue;
+            Bench bench(3);
+            bench.pass(3000);
+            bench.cut.insert({from, to});
+            bench.pass(10000);
+            const int leader = bench.leader();
+            ASSERT_GE(leader, 0) << from << " -> " << to;
+            const std::size_t before = bench.applied[leader].size();
+            ASSERT_TRUE(bench.all[leader]->propose("goes on"));
+            bench.pass(500);
+            EXPECT_GT(bench.applied[leader].size(), before) << from << " -> " << to;
+        }
+}
+
+TEST(Agreement, WhoLostItsFolderIsSomebodyElseAndIsTakenInByTheOthers) {
+    Bench bench(3);
+    bench.pass(3000);
+    const int leader = bench.leader(), lost = (leader + 1) % 3;
+    for (int i = 0; i < 10; ++i) bench.all[leader]->propose("x");
+    bench.pass(500);
+    const auto former = bench.all[lost]->id();
+    bench.disks[lost] = agree::newcomer(7, agree::kFirstDrawn + 99);
+    bench.applied[lost].clear();
+    bench.start(lost);
+    // Before it is a member it votes for nobody's sake: what it says counts nowhere.
+    EXPECT_FALSE(bench.all[lost]->member());
+    bench.pass(15000);
+    ASSERT_TRUE(bench.all[lost]->member());
+    EXPECT_NE(bench.all[lost]->id(), former);
+    const auto& members = bench.all[bench.leader()]->members();
+    EXPECT_EQ(members.size(), 3U);
+    for (const auto& member : members) {
+        EXPECT_TRUE(member.voter);
+        EXPECT_NE(member.id, former);
+    }
+    // Its vote counts now: the third may go, and the two agree.
+    const int third = 3 - bench.leader() - lost;
+    bench.all[third].reset();
+    bench.all[bench.leader()]->propose("two are a majority");
+    bench.pass(1000);
+    EXPECT_EQ(bench.applied[lost].back(), "two are a majority");
+}
+
+TEST(Agreement, AnOlderFolderIsToldToGo) {
+    Bench bench(3);
+    bench.pass(3000);
+    const int leader = bench.leader(), back = (leader + 1) % 3;
+    const agree::Stored copy = bench.disks[back];
+    for (int i = 0; i < 10; ++i) bench.all[leader]->propose("x");
+    bench.pass(500);
+    bench.disks[back] = copy;  // an hour ago, say
+    bench.start(back);
+    bench.pass(1000);
+    EXPECT_TRUE(bench.all[back]->retired());
+    EXPECT_EQ(bench.leader(), leader);
+}
+
+TEST(Agreement, ASnapshotIsSentWhileEntriesGoOn) {
+    Bench bench(3);
+    bench.pass(3000);
+    const int leader = bench.leader(), late = (leader + 1) % 3;
+    bench.all[late].reset();
+    for (int i = 0; i < 50; ++i) bench.all[leader]->propose("x" + std::to_string(i));
+    bench.pass(500);
+    bench.all[leader]->compact(bench.all[leader]->commit(), "all so far");
+    bench.flow();
+    bench.applied[late].clear();
+    bench.start(late);
+    for (int i = 0; i < 20; ++i) {
+        bench.all[leader]->propose("y" + std::to_string(i));
+        bench.pass(60);
+    }
+    bench.pass(2000);
+    EXPECT_EQ(bench.disks[late].snapshot.data, "all so far");
+    ASSERT_FALSE(bench.applied[late].empty());
+    EXPECT_EQ(bench.applied[late].back(), "y19");
+    EXPECT_EQ(bench.all[late]->commit(), bench.all[leader]->commit());
+}
+
+TEST(Agreement, MembersChangeOneAtATimeAndOneThatDiesInBetweenHurtsNobody) {
+    Bench bench(5);
+    bench.pass(3000);
+    const int leader = bench.leader(), out = (leader + 1) % 5, dies = (leader + 2) % 5;
+    ASSERT_TRUE(bench.all[leader]->remove(out));
+    EXPECT_FALSE(bench.all[leader]->remove(dies)) << "one change at a time";
+    bench.all[dies].reset();
+    bench.pass(2000);
+    EXPECT_EQ(bench.all[leader]->members().size(), 4U);
+    EXPECT_FALSE(bench.all[leader]->remove(leader)) << "not itself";
+    bench.pass(5000);
+    EXPECT_TRUE(bench.all[out]->retired()) << "it stands no more once told";
+    ASSERT_TRUE(bench.all[bench.leader()]->propose("goes on"));
+}
+
+TEST(Agreement, AQuestionIsConfirmedByAMajoritysWordGivenAfterIt) {
+    Bench bench(3);
+    bench.pass(3000);
+    const int leader = bench.leader();
+    ASSERT_TRUE(bench.all[leader]->confirm(5));
+    EXPECT_TRUE(bench.confirmed.empty());
+    bench.flow();
+    EXPECT_EQ(bench.confirmed, std::vector<std::uint64_t>{5});
+    bench.cut_off(leader);
+    ASSERT_TRUE(bench.all[leader]->confirm(6));
+    bench.pass(6000);
+    EXPECT_EQ(bench.confirmed.size(), 1U) << "never, of one that nobody hears";
+    EXPECT_FALSE(bench.all[(leader + 1) % 3]->confirm(7) && bench.leader() != (leader + 1) % 3);
+}
+
+// Figure 8 of the paper: an entry of an earlier term on a majority is not committed by counting alone.
+TEST(Agreement, EntriesOfEarlierTermsCommitOnlyUnderOneOfTheOwn) {
+    agree::Stored disk = agree::founded(7, 0, 3);
+    disk.starts = 1, disk.term = 2;
+    disk.entries = {{2, agree::Entry::Kind::data, "old"}};
+    Bench names(3);
+    Keeper keeper(names.settings(0), disk, 0, 5);
+    const auto drain = [&] {
+        std::vector<Message> out;
+        while (keeper.ready()) {
+            auto ready = keeper.take();
+            keeper.stored();
+            for (auto& m : ready.messages) out.push_back(std::move(m));
+        }
+        return out;
+    };
+    const auto say = [&](Message::Kind kind, agree::Term term, agree::Index index) {
+        Message m;
+        m.kind = kind, m.fleet = 7, m.from = 2, m.to = 1, m.number = 1, m.run = {1, 1};
+        m.term = term, m.ok = true, m.index = index, m.last = index;
+        keeper.heard(3000, m);
+    };
+    keeper.tick(3000);
+    drain();
+    say(Message::Kind::prevote, 3, 0);
+    say(Message::Kind::vote, 3, 0);
+    ASSERT_EQ(keeper.role(), Keeper::Role::leader);
+    drain();
+    say(Message::Kind::appended, 3, 1);
+    EXPECT_EQ(keeper.commit(), 0U) << "on a majority, and not committed";
+    EXPECT_FALSE(keeper.leads());
+    say(Message::Kind::appended, 3, 2);
+    EXPECT_EQ(keeper.commit(), 2U);
+}
+
+TEST(Agreement, AVoteIsKeptBeforeItIsSaidAndIsOneATerm) {
+    agree::Stored disk = agree::founded(7, 0, 3);
+    disk.starts = 1;
+    Bench names(3);
+    const auto ask = [](agree::KeeperId from) {
+        Message m;
+        m.kind = Message::Kind::ask_vote, m.fleet = 7, m.from = from, m.to = 1;
+        m.number = static_cast<std::uint32_t>(from - 1), m.run = {1, from}, m.term = 4;
+        return m;
+    };
+    Keeper keeper(names.settings(0), disk, 0, 5);
+    keeper.heard(0, ask(2));
+    auto ready = keeper.take();
+    ASSERT_TRUE(ready.vote);
+    EXPECT_EQ(ready.vote->term, 4U);
+    EXPECT_EQ(ready.vote->voted, 2U);
+    ASSERT_EQ(ready.messages.size(), 1U);
+    EXPECT_TRUE(ready.messages[0].ok);
+    disk.term = ready.vote->term, disk.voted = ready.vote->voted, disk.starts = 2;
+    Keeper again(names.settings(0), disk, 0, 6);  // died after it had said so
+    again.heard(0, ask(3));
+    ready = again.take();
+    ASSERT_EQ(ready.messages.size(), 1U);
+    EXPECT_FALSE(ready.messages[0].ok);
+}
+
+TEST(Agreement, ALogThatMakesNoSenseIsRefused) {
+    Bench names(3);
+    agree::Stored disk = agree::founded(7, 0, 3);
+    disk.term = 3;
+    disk.entries = {{2, agree::Entry::Kind::nothing, ""}, {1, agree::Entry::Kind::nothing, ""}};
+    EXPECT_THROW(Keeper(names.settings(0), disk, 0, 5), agree::Broken);
+    disk.entries = {{4, agree::Entry::Kind::nothing, ""}};
+    EXPECT_THROW(Keeper(names.settings(0), disk, 0, 5), agree::Broken);
+}
+
+// ---- What is kept ----------------------------------------------------------------------------------------
+
+agree::Stored some_stored() {
+    agree::Stored s = agree::founded(7, 1, 3);
+    s.starts = 4, s.term = 9, s.voted = 2;
+    s.snapshot.index = 5, s.snapshot.term = 3, s.snapshot.data = "book";
+    s.entries = {{4, agree::Entry::Kind::data, "a"}, {9, agree::Entry::Kind::nothing, ""}};
+    return s;
+}
+
+TEST(Journal, ReplaysWhatWasKeptAndTellsATornTailFromRot) {
+    const std::string whole = store::records_of(some_stored());
+    const auto back = store::replay(whole);
+    ASSERT_EQ(back.found, store::Replayed::Found::whole);
+    EXPECT_EQ(back.stored.id, 2U);
+    EXPECT_EQ(back.stored.term, 9U);
+    EXPECT_EQ(back.stored.entries, some_stored().entries);
+    EXPECT_EQ(back.stored.snapshot, some_stored().snapshot);
+    for (std::size_t n = 0; n < whole.size(); ++n) {
+        const auto cut = store::replay(whole.substr(0, n));
+        EXPECT_NE(cut.found, store::Replayed::Found::spoilt) << "cut at " << n;
+        EXPECT_LE(cut.good, n);
+        std::string rotten = whole;
+        rotten[n] = static_cast<char>(rotten[n] ^ 4);
+        EXPECT_EQ(store::replay(rotten).found, store::Replayed::Found::spoilt) << "rotten at " << n;
+    }
+    // A later entry replaces those from its index on.
+    agree::Ready ready;
+    ready.from = 7;
+    ready.entries = {{10, agree::Entry::Kind::data, "b"}};
+    const auto more = store::replay(whole + store::records_of(ready));
+    ASSERT_EQ(more.stored.entries.size(), 2U);
+    EXPECT_EQ(more.stored.entries[1].data, "b");
+    ready.from = 9;
+    EXPECT_EQ(store::replay(whole + store::records_of(ready)).found, store::Replayed::Found::spoilt)
+        << "a gap";
+}
+
+TEST(Hostile, MessagesOfKeepersHoldersAndBooks) {
+    Message m;
+    m.kind = Message::Kind::append, m.fleet = 7, m.from = 2, m.to = 1, m.term = 3;
+    m.entries = {{3, agree::Entry::Kind::data, "abc"}};
+    const std::string good = agree::encode(m);
+    std::string why;
+    ASSERT_TRUE(agree::decode_message(good, why));
+    for (std::size_t n = 0; n < good.size(); ++n) {
+        EXPECT_FALSE(agree::decode_message(good.substr(0, n), why)) << "cut at " << n;
+        std::string bent = good;
+        bent[n] = static_cast<char>(bent[n] ^ 1);
+        EXPECT_FALSE(agree::decode_message(bent, why)) << "bent at " << n;
+    }
+    const auto raw = [](std::initializer_list<int> bytes) {
+        std::string text;
+        for (const int byte : bytes) text.push_back(static_cast<char>(byte));
+        return store::sealed(text);
+    };
+    const struct {
+        const char* what;
+        std::string bytes;
+        const char* why;
+    } rows[] = {
+        {"nothing", "", "its checksum is not its own"},
+        {"nothing, sealed", raw({}), "its format is 0"},
+        {"a newer format", raw({0x08, 2, 0x20, 1}), "its format is 2"},
+        {"from nobody", raw({0x08, 1}), "it is from nobody"},
+        {"a kind that there is not", raw({0x08, 1, 0x10, 99}), "kind is over its bound"},
+        {"a text for a number", raw({0x08, 1, 0x1a, 1, 65}), "fleet is of another type"},
+        {"a number over 64 bits", raw({0x08, 1, 0x18, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1}),
+         "fleet can't be read"},
+        {"an entry longer than all", raw({0x08, 1, 0x82, 1, 0x7f, 0}), "entry can't be read"},
+        {"an entry without a term", raw({0x08, 1, 0x82, 1, 2, 0x10, 1}), "an entry has no term"},
+        {"members that are nobody", raw({0x08, 1, 0x82, 1, 8, 0x08, 1, 0x10, 2, 0x1a, 2, 0x0a, 0}),
+         "a member is nobody"},
+        {"a tag of no field", raw({0x08, 1, 0x00}), "a field's tag can't be read"},
+        {"a snapshot's message without one", raw({0x08, 1, 0x10, 6, 0x20, 1}), "the snapshot is missing"},
+        {"longer than any", std::string(agree::kMaxMessageBytes + 1, 'x'), "it is too long"},
+    };
+    for (const auto& row : rows) {
+        EXPECT_FALSE(agree::decode_message(row.bytes, why)) << row.what;
+        EXPECT_EQ(why, row.why) << row.what;
+    }
+    EXPECT_TRUE(agree::decode_message(raw({0x08, 1, 0x20, 1, 0xf8, 1, 5}), why))
+        << "a field of a newer build";
+    lease::Question q;
+    q.holder = 3, q.task = "t";
+    ASSERT_TRUE(lease::decode_question(lease::encode(q), why));
+    q.length = 1;
+    EXPECT_FALSE(lease::decode_question(lease::encode(q), why));
+    EXPECT_EQ(why, "length is out of its range");
+    q.length = 1000, q.task.assign(lease::kMaxName + 1, 't');
+    EXPECT_FALSE(lease::decode_question(lease::encode(q), why));
+    q.task.clear();
+    EXPECT_FALSE(lease::decode_question(lease::encode(q), why));
+    EXPECT_EQ(why, "the task is missing");
+    lease::Book book;
+    EXPECT_FALSE(book.load("\x1a\x7f"));
+    EXPECT_TRUE(book.tasks().empty());
+}
+
+TEST(Agreement, MessagesOfAnotherFleetToSomebodyElseOrFromAnEarlierRunChangeNothing) {
+    Bench bench(3);
+    bench.pass(3000);
+    const int leader = bench.leader(), other = (leader + 1) % 3;
+    Message m;
+    m.kind = Message::Kind::append, m.from = static_cast<agree::KeeperId>(leader + 1),
+    m.number = static_cast<std::uint32_t>(leader);
+    m.to = bench.all[other]->id(), m.term = 99, m.run = {1, 0}, m.fleet = 8;
+    const auto term = bench.all[other]->term();
+    const auto try_it = [&](const char* what) {
+        bench.all[other]->heard(bench.now, m);
+        EXPECT_EQ(bench.all[other]->term(), term) << what;
+        EXPECT_FALSE(bench.all[other]->retired()) << what;
+    };
+    try_it("another fleet's");
+    m.fleet = 7, m.to = 77;
+    try_it("another's");
+    m.to = bench.all[other]->id(), m.run = {0, 5};
+    try_it("an earlier run's");
+    m.kind = Message::Kind::gone, m.run = {77, 77};
+    try_it("told to go, but not in this run");
+}
+
+// ---- Rights ----------------------------------------------------------------------------------------------
+
+lease::Op op(lease::Op::Kind kind, lease::HolderId holder, lease::Fence fence = 0, bool wait = true) {
+    lease::Op one;
+    one.kind = kind, one.task = "probe", one.holder = holder, one.name = "h" + std::to_string(holder);
+    one.fence = fence, one.length = 1000, one.wait = wait;
+    return one;
+}
+
+TEST(Book, FencesOnlyGrowAndTheQueueKeepsItsOrder) {
+    using Kind = lease::Op::Kind;
+    lease::Book book;
+    EXPECT_EQ(book.apply(op(Kind::want, 1)).fence, 1U);
+    EXPECT_EQ(book.apply(op(Kind::want, 2)).outcome, lease::Book::Outcome::queued);
+    EXPECT_EQ(book.apply(op(Kind::want, 3)).outcome, lease::Book::Outcome::queued);
+    EXPECT_EQ(book.apply(op(Kind::want, 4, 0, false)).outcome, lease::Book::Outcome::refused);
+    EXPECT_EQ(book.apply(op(Kind::lapse, 0, 9)).outcome, lease::Book::Outcome::nothing) << "not its fence";
+    EXPECT_EQ(book.apply(op(Kind::release, 2, 1)).outcome, lease::Book::Outcome::nothing) << "not its holder";
+    lease::Op release = op(Kind::release, 1, 1);
+    release.next = "h3";  // handed over, past the one who was first
+    EXPECT_EQ(book.apply(release).to, 3U);
+    EXPECT_EQ(book.find("probe")->fence, 2U);
+    EXPECT_EQ(book.apply(op(Kind::lapse, 0, 1)).outcome, lease::Book::Outcome::nothing)
+        << "of a right that is over";
+    EXPECT_EQ(book.apply(op(Kind::lapse, 0, 2)).to, 2U);
+    book.apply(op(Kind::release, 2, 3));
+    EXPECT_EQ(book.find("probe"), nullptr);
+    EXPECT_EQ(book.apply(op(Kind::want, 1)).fence, 4U) << "also of a task long forgotten";
+    lease::Book again;
+    ASSERT_TRUE(again.load(book.save()));
+    EXPECT_EQ(again.save(), book.save());
+    EXPECT_EQ(again.digest(), book.digest());
+    for (lease::HolderId h = 10; h < 10 + lease::kMaxQueue; ++h) book.apply(op(Kind::want, h));
+    EXPECT_EQ(book.apply(op(Kind::want, 999)).outcome, lease::Book::Outcome::full);
+}
+
+TEST(Book, TheFullestBookGoesIntoOneSnapshot) {
+    lease::Book book;
+    for (std::size_t n = 0; n < lease::kMaxTasks + 1; ++n) {
+        lease::Op one = op(lease::Op::Kind::want, n + 1);
+        one.task = std::to_string(n);
+        one.task.resize(lease::kMaxName, 't'), one.name.assign(lease::kMaxName, 'n');
+        EXPECT_EQ(book.apply(one).outcome,
+                  n < lease::kMaxTasks ? lease::Book::Outcome::granted : lease::Book::Outcome::full);
+        one.holder = 1'000'000 + n;
+        if (n < lease::kMaxTasks) book.apply(one);
+    }
+    EXPECT_LT(book.save().size(), agree::kMaxSnapshotBytes);
+    lease::Book again;
+    EXPECT_TRUE(again.load(book.save()));
+    EXPECT_EQ(again.tasks().size(), lease::kMaxTasks);
+}
+
+TEST(Gate, TakesNoLowerFenceAlsoOfTasksItHasForgotten) {
+    lease::Gate gate(2);
+    EXPECT_TRUE(gate.admit("a", 5));
+    EXPECT_TRUE(gate.admit("a", 5));
+    EXPECT_FALSE(gate.admit("a", 4));
+    EXPECT_FALSE(gate.admit("a", 0));
+    EXPECT_TRUE(gate.admit("b", 3));
+    EXPECT_TRUE(gate.admit("c", 9));  // b has the lowest fence, and goes
+    EXPECT_FALSE(gate.admit("b", 2));
+    EXPECT_TRUE(gate.admit("b", 10));
+    EXPECT_EQ(gate.refused(), 3U);
+}
+
+struct Asking {
+    lease::Holder holder;
+    Asking() : holder(settings(), 7) {}
+    static lease::HolderSettings settings() {
+        lease::HolderSettings s;
+        s.id = 42, s.name = "me", s.margin = 100;
+        return s;
+    }
+    lease::Question ask(double now) {
+        holder.tick(now);
+        auto out = holder.take();
+        return out.empty() ? lease::Question{} : out.back().question;
+    }
+    lease::Answer held(const lease::Question& q, lease::Fence fence = 5) {
+        lease::Answer a;
+        a.kind = lease::Answer::Kind::held, a.holder = q.holder, a.number = q.number, a.task = q.task;
+        a.fence = fence, a.length = q.length;
+        return a;
+    }
+};
+
+TEST(Holder, CountsFromItsAskingAndStopsAMarginEarly) {
+    Asking me;
+    me.holder.want(1000, "probe", 3000, false);
+    const auto q = me.ask(1000);
+    EXPECT_FALSE(me.holder.right(1000, "probe"));
+    me.holder.heard(1400, me.held(q));  // 400 ms on its way
+    ASSERT_TRUE(me.holder.right(1400, "probe"));
+    EXPECT_EQ(me.holder.right(1400, "probe")->until, 3900);
+    EXPECT_FALSE(me.holder.right(3900, "probe"));
+}
+
+TEST(Holder, AnAnswerDoubledOrAMinuteLateRevivesNothing) {
+    Asking me;
+    me.holder.want(0, "probe", 3000, false);
+    const auto first = me.ask(0);
+    me.ask(10000);  // nobody has answered: a pause, and then another keeper
+    const auto second = me.ask(10060);
+    ASSERT_GT(second.number, first.number);
+    me.holder.heard(10061, me.held(first));
+    EXPECT_FALSE(me.holder.right(10061, "probe")) << "of a question that has a successor";
+    me.holder.heard(10070, me.held(second));
+    ASSERT_TRUE(me.holder.right(10070, "probe"));
+    me.holder.heard(12000, me.held(second));
+    EXPECT_EQ(me.holder.right(12000, "probe")->until, 12960) << "doubled: counts from the same asking";
+    me.holder.heard(60000, me.held(second));
+    EXPECT_FALSE(me.holder.right(60000, "probe"));
+    auto another = me.held(me.ask(61000));
+    another.holder = 43;
+    me.holder.heard(61001, another);
+    EXPECT_FALSE(me.holder.right(61001, "probe")) << "another's";
+}
+
+TEST(Holder, WhatIsGivenUpIsNotActedUponWhateverBecomesOfTheMessage) {
+    Asking me;
+    me.holder.want(0, "probe", 3000, false);
+    me.holder.heard(10, me.held(me.ask(0)));
+    ASSERT_TRUE(me.holder.right(20, "probe"));
+    me.holder.give_up(20, "probe", "you");
+    EXPECT_FALSE(me.holder.right(21, "probe"));
+    const auto q = me.ask(21);
+    EXPECT_EQ(q.kind, lease::Question::Kind::release);
+    EXPECT_EQ(q.fence, 5U);
+    EXPECT_EQ(q.next, "you");
+    me.holder.heard(30, me.held(q));  // some old word
+    EXPECT_FALSE(me.holder.right(31, "probe"));
+    double now = 31;
+    for (; me.holder.state("probe") != lease::Holder::State::idle && now < 10000; now += 10) me.ask(now);
+    EXPECT_LT(now, 4500) << "unanswered, it ends by itself with the right";
+}
+
+TEST(Holder, RenewalsOfManyAreSpread) {
+    std::map<int, int> by_slot;
+    for (std::uint64_t n = 0; n < 2000; ++n) {
+        lease::HolderSettings s;
+        s.id = n + 1;
+        lease::Holder holder(s, n * 7919);
+        holder.want(0, "t", 9000, false);
+        holder.tick(0);
+        lease::Answer a;
+        a.kind = lease::Answer::Kind::held, a.holder = s.id, a.task = "t", a.fence = 1, a.length = 9000;
+        a.number = holder.take().at(0).question.number;
+        holder.heard(1, a);
+        ++by_slot[static_cast<int>(holder.due() / 100)];
+    }
+    for (const auto& [slot, count] : by_slot) EXPECT_LT(count, 300) << "of 2,000 in " << slot << " x 100 ms";
+}
+
+// ---- Days ------------------------------------------------------------------------------------------------
+
+sim::Case quiet_day() {
+    sim::Case day;
+    day.length = 20000;
+    day.set = {{"keepers", 3}, {"holders", 3},    {"tasks", 2},    {"lease.quiet", 1},
+               {"servers", 0}, {"forwarders", 0}, {"planners", 0}, {"load", 0}};
+    return day;
+}
+
+sim::Played played(const sim::Case& day) {
+    sim::Played p = sim::play(day);
+    for (const auto& f : p.findings) ADD_FAILURE() << f.at << " ms: " << f.rule << ": " << f.what;
+    return p;
+}
+
+TEST(LeaseDay, QuietOneLeaderNobodyChangesHands) {
+    const auto p = played(quiet_day());
+    EXPECT_EQ(p.figures.at("leaders"), 1);
+    EXPECT_EQ(p.figures.at("rights gained"), 2);
+    EXPECT_LT(p.figures.at("syncs"), 40) << "renewals write nothing";
+}
+
+TEST(LeaseDay, AHoldersDeathIsTakenOverWithinLengthAndAWhile) {
+    sim::Case day = quiet_day();
+    for (int holder = 0; holder < 3; ++holder)
+        day.faults.push_back({"holder-down", std::to_string(holder), 4000.0 + 4000 * holder, 300, 0});
+    const auto p = played(day);
+    EXPECT_GE(p.figures.at("rights gained"), 3);
+    // The length stretched by the drift, and what it takes to agree.
+    EXPECT_LE(p.figures.at("longest without a holder"), 2000 * 1.06 + 300);
+}
+
+TEST(LeaseDay, AMajorityLostNobodyActsPastItsRightAndTermsGoOnGrowing) {
+    sim::Case day = quiet_day();
+    day.faults = {{"keeper-down", "0", 5000, 6000, 0}, {"keeper-down", "1", 5000, 6000, 0}};
+    const auto p = played(day);
+    EXPECT_GE(p.figures.at("longest without a holder"), 3000) << "nobody can give rights meanwhile";
+}
+
+TEST(LeaseDay, AHolderStoppedInTheMiddleOfAnActIsRefusedByTheGate) {
+    sim::Case day = quiet_day();
+    day.set["tasks"] = 1;
+    for (int holder = 0; holder < 3; ++holder)
+        day.faults.push_back({"holder-pause", std::to_string(holder), 3000.0 + 4000 * holder, 3500, 0});
+    const auto p = played(day);
+    EXPECT_GE(p.figures.at("acts sent after a stop"), 1);
+    EXPECT_GE(p.figures.at("stale acts refused"), 1);
+}
+
+// Two that were to wait for each other's terms for ever would find nobody: drawn elections end.
+TEST(LeaseDay, ManyElectionsEnd) {
+    sim::Case day = quiet_day();
+    day.set["keepers"] = 5;
+    for (int n = 0; n < 8; ++n) day.faults.push_back({"leader-down", "", 2000.0 + 1500 * n, 700, 0});
+    const auto p = played(day);
+    EXPECT_GE(p.figures.at("leaders"), 8);
+}
+
+TEST(LeaseDay, DrawnDaysUnderEveryFault) {
+    std::map<std::string, double> sums;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        const auto p = sim::play(sim::drawn_lease_day(seed));
+        for (const auto& f : p.findings) ADD_FAILURE() << "seed " << seed << ": " << f.rule << ": " << f.what;
+        for (const auto& [name, value] : p.figures) sums[name] += value;
+    }
+    for (const char* what :
+         {"struck: keeper down, crash", "struck: keeper down, folder lost",
+          "struck: keeper down, folder rotten", "struck: keeper down, disk full",
+          "struck: keeper down, older folder", "struck: leader down", "struck: keeper stopped",
+          "struck: holder stopped", "struck: holder down", "struck: slow disk", "struck: lease-lossy",
+          "struck: answers-lost", "struck: keeper-cut", "struck: lease-split", "deaths in a write",
+          "torn tails", "stale acts refused"})
+        EXPECT_GE(sums[what], 5) << what;
+    EXPECT_GE(sums["new lives"], 20);
+}
+
+}  // namespace
+}  // namespace cobaltshift
