--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -138,14 +138,25 @@
             if (from == to) continue;
             Bench bench(3);
             bench.pass(3000);
+            const int before_it = bench.leader();
+            const auto term = bench.all[before_it]->term();
             bench.cut.insert({from, to});
             bench.pass(10000);
             const int leader = bench.leader();
             ASSERT_GE(leader, 0) << from << " -> " << to;
+            if (static_cast<int>(from) == before_it) {  // one hears it no more and stands again and again
+                EXPECT_EQ(leader, before_it);
+                EXPECT_EQ(bench.all[leader]->term(), term) << "the others still hear it";
+            }
             const std::size_t before = bench.applied[leader].size();
             ASSERT_TRUE(bench.all[leader]->propose("goes on"));
             bench.pass(500);
             EXPECT_GT(bench.applied[leader].size(), before) << from << " -> " << to;
+            bench.cut.clear();
+            bench.pass(2000);
+            if (static_cast<int>(from) == before_it) {
+                EXPECT_EQ(bench.all[before_it]->term(), term) << "nor does its return unseat it";
+            }
         }
 }
 
@@ -192,6 +203,30 @@
     EXPECT_EQ(bench.leader(), leader);
 }
 
+TEST(Agreement, ALaterRunWithALowerTermIsToldToGoByWhoeverRemembers) {
+    Bench names(3);
+    agree::Stored disk = agree::founded(7, 0, 3);
+    disk.starts = 1;
+    Keeper keeper(names.settings(0), disk, 0, 5);
+    const auto says = [&](std::uint64_t starts, std::uint64_t draw, agree::Term term) {
+        Message m;
+        m.kind = Message::Kind::ask_vote, m.fleet = 7, m.from = 2, m.to = 1, m.number = 1;
+        m.run = {starts, draw}, m.term = term;
+        keeper.heard(0, m);
+        std::vector<Message> out;
+        while (keeper.ready()) {
+            for (Message& one : keeper.take().messages) out.push_back(std::move(one));
+            keeper.stored();
+        }
+        return out.empty() ? Message::Kind::join : out.back().kind;
+    };
+    EXPECT_EQ(says(5, 1, 9), Message::Kind::vote);
+    EXPECT_EQ(says(4, 8, 3), Message::Kind::join) << "late, of an earlier run: nothing";
+    EXPECT_EQ(says(5, 2, 9), Message::Kind::gone) << "the same start twice: a copy";
+    EXPECT_EQ(says(6, 3, 4), Message::Kind::gone) << "a later start that forgot a term";
+    EXPECT_EQ(says(6, 4, 10), Message::Kind::vote) << "a later start as it should be";
+}
+
 TEST(Agreement, ASnapshotIsSentWhileEntriesGoOn) {
     Bench bench(3);
     bench.pass(3000);
