Clients that give up before an answer was to be expected no longer close the room

A probe on each attempt's end: the median of those overdue lasted 37 ms against aims of 290 to 500, spread over all servers alike (ten worst of 171: 12 %), whose other answers took 40 to 65 ms. So it was the clients who gave up, not the servers that were slow. Ruled out by it: stuck servers, cold ones (15 to 58 % of them), repeats (2 to 5 %).

The lines at fault: adapt_room() counts any overdue attempt as 1.5 aims, whatever time it had; book() takes it into served (which shrinks cold servers' lots), timely (probes) and suspicion (eighteen messages each).

Now an attempt that ended by its client's time, before an answer at the pool's usual time for what was there, is no verdict, as if recalled; recalled ones no longer count in served and timely either. Longer waits count as before, so that a server that stands still is found by impatient clients too.

Two tests; the first is red without the change.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -756,13 +756,18 @@
         --s.outstanding;
         const auto its = std::find(s.waiting.begin(), s.waiting.end(), std::pair(a.sent_at, r.kind.aim));
         if (its != s.waiting.end()) s.waiting.erase(its);
-        adapt_room(s, r, a, e);
+        // A client that gave it less time than its answer was expected to take says nothing of the server.
+        AttemptEnded seen = e;
+        if (e.outcome == Outcome::overdue &&
+            e.duration < r.kind.aim * std::min(1.0, usual * (1 + a.crowd) / warmth(s)))
+            seen.outcome = Outcome::recalled;
+        adapt_room(s, r, a, seen);
+        judge(s, a, seen.outcome, e.duration > r.kind.aim && !is_cold(s));
+        if (seen.outcome == Outcome::recalled || seen.outcome == Outcome::superseded) return;
         smooth(served, e.outcome == Outcome::completed ? 1.0 : 0.0);
         const bool good = e.outcome == Outcome::completed && e.duration <= r.kind.aim;
         smooth(timely, good ? 1.0 : 0.0);
-        if (!good && e.outcome != Outcome::recalled && e.outcome != Outcome::superseded && is_light())
-            suspect(s), tell_peers(s.info.id);
-        judge(s, a, e.outcome, e.duration > r.kind.aim && !is_cold(s));
+        if (!good && is_light()) suspect(s), tell_peers(s.info.id);
     }
 
     void on(const AttemptEnded& e) {
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -263,6 +263,48 @@
     EXPECT_EQ(empty.advice, std::vector<Millis>{10000});
 }
 
+// Clients who give up before an answer was to be expected say nothing of servers or pool: no refusal, no
+// removal, no probe for them. Every answer takes 100 ms here, a fifth of all clients wait 30.
+TEST(Admission, ClientsThatGiveUpEarlyCloseNoRoom) {
+    Settings settings = make_settings();
+    settings.siblings = 300, settings.may_tell = settings.may_probe = true;
+    Rig rig(settings);
+    rig.list(ListKind::full, make_servers(40));
+    int told = 0, probes = 0;  // single peers, of a failure
+    const auto count_told = [&] {
+        for (const Action& a : rig.last)
+            if (const auto* tell = std::get_if<TellPeer>(&a)) told += tell->to.has_value();
+    };
+    for (int i = 0; i < 1000; ++i) {
+        const RequestId id = rig.request(0, i % 5 == 4 && i > 50 ? 30 : 1000);
+        count_told();
+        probes += rig.count<Probe>();
+        ASSERT_TRUE(rig.out(id)) << "request " << i << " is refused";
+        rig.end(id, i % 5 == 4 && i > 50 ? Outcome::overdue : Outcome::completed,
+                i % 5 == 4 && i > 50 ? 30 : 100);
+        count_told();
+    }
+    EXPECT_LT(rig.balancer.tally().crowding, 0.3);
+    EXPECT_GT(rig.balancer.tally().timely, 0.99);
+    EXPECT_EQ(rig.removals(), 0);
+    EXPECT_EQ(probes, 0);
+    EXPECT_EQ(told, 0);
+}
+
+// But one that stands still is found, also by clients who don't wait for the aim.
+TEST(Window, OneThatStandsStillIsLeftAloneAlsoByClientsOfLittlePatience) {
+    Rig rig = pool(4, 1, Effect::repeatable);
+    for (int i = 0; i < 100; ++i) rig.end(rig.request(0, 100), Outcome::completed, 10);
+    int asked = 0;
+    for (int i = 0; i < 100; ++i) {
+        const RequestId id = rig.request(0, 100);
+        const bool still = rig.where(id) == 2;
+        asked += still;
+        rig.end(id, still ? Outcome::overdue : Outcome::completed, still ? 100 : 10);
+    }
+    EXPECT_LT(asked, 8) << "of 100, an even part is 25";
+}
+
 TEST(Admission, FastAnswersBoundNothing) {
     Rig rig = pool(4);
     for (int i = 0; i < 60; ++i) rig.serve(rig.burst(40, 5000), 20);
