Tell the fleet in two bytes an attempt where that is shorter, and spend a quarter less on it

A light sidecar has one attempt at each of its servers, for which FleetView::say wrote three bytes.

Tests of both forms, cut off and mixed.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -53,7 +53,7 @@
 constexpr double kOverdue = 1.5;  // an attempt ended without an answer would have taken so much longer
 constexpr double kMostTook = 4;   // aims: a longer answer tells no more than that
 constexpr Millis kTellEvery = 50, kLastMoment = 10, kTookMemory = 10000;
-constexpr double kTellFee = 0.04;   // of the result at most, for telling the others what is out
+constexpr double kTellFee = 0.03;   // of the result at most, for telling the others what is out
 constexpr double kTellEasy = 0.05;  // of kTellFee, in an idle pool
 constexpr double kLeastShare = 0.25, kMostRate = 1e6;  // of guidance: less or more is not followed
 constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 2 of it
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -5,6 +5,8 @@
 // something out the lower half of its id and the number, three bytes; the number that failed there of late
 // goes under the id with all bits turned, which says nothing to those who don't know of it. Lost ones leave
 // the last in force until it is too old. Any that don't fit this form are dropped whole.
+// Where that is shorter, as it is for a light sidecar with one attempt at each of its servers, the tag is
+// kTagEach and each attempt is its server's two bytes: what telling costs grows with the square of the fleet.
 #pragma once
 
 #include <cstdint>
@@ -20,7 +22,7 @@
 
 class FleetView {
 public:
-    static constexpr std::uint8_t kTag = 0xF1;
+    static constexpr std::uint8_t kTag = 0xF1, kTagEach = 0xF2;
     static constexpr std::size_t kLongest = 256;  // of a datagram between sidecars
 
     struct Out {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -420,7 +420,7 @@
 
 TEST(Telling, CostsWhatItIsWorthMoreInACrowdThanInAnIdlePool) {
     const double crowded = spent_on_telling(200, 0.006), idle = spent_on_telling(20, 0.006);
-    EXPECT_LT(crowded, 0.045);
+    EXPECT_LT(crowded, 0.034);
     EXPECT_GT(crowded, 0.015) << "seldom told, what others have out is old when it is used";
     EXPECT_LT(idle, crowded / 3);
     EXPECT_GT(idle, 0);
@@ -476,7 +476,7 @@
     bool told = false;
     for (const Action& a : rig.last)
         if (const auto* tell = std::get_if<TellPeer>(&a); tell && !tell->to)
-            for (std::size_t i = 1; i + 2 < tell->bytes.size(); i += 3)
+            for (std::size_t i = 1; i + 1 < tell->bytes.size(); i += tell->bytes[0] == 0xF2 ? 2 : 3)
                 told |= tell->bytes[i] == 0xFF && tell->bytes[i + 1] == static_cast<std::uint8_t>(~bad);
     EXPECT_TRUE(told);
     EXPECT_TRUE(rig.out(next)) << "it turns nothing away";
--- a/tests/shares_test.cpp
+++ b/tests/shares_test.cpp
@@ -153,6 +153,26 @@
     EXPECT_EQ(view.failed(7), 0) << "forgotten like the rest";
 }
 
+// One attempt at each of a few servers, as light sidecars have them, takes two bytes each and reads the same.
+TEST(FleetView, WhatIsShorterIsSaid) {
+    Shares shares({}, 3);
+    const std::vector<std::vector<FleetView::Out>> all = {
+        {{7, 1, 0}}, {{7, 1, 0}, {70000, 1, 1}}, {{7, 2, 0}, {8, 1, 0}}, {{7, 9, 2}}, {{7, 0, 1}}};
+    const std::size_t sizes[] = {3, 7, 7, 7, 3};
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        FleetView view;
+        const auto bytes = FleetView::say(100, shares, all[n]);
+        EXPECT_EQ(bytes.size(), sizes[n]) << n;
+        EXPECT_TRUE(view.hear(100, 1, bytes, shares));
+        for (const FleetView::Out& o : all[n]) {
+            EXPECT_EQ(view.elsewhere(o.server), o.out) << n;
+            EXPECT_EQ(view.failed(o.server), o.failed) << n;
+        }
+        EXPECT_TRUE(view.hear(200, 1, FleetView::say(200, shares, {}), shares));
+        EXPECT_EQ(view.elsewhere(7), 0) << "taken back whole";
+    }
+}
+
 TEST(FleetView, AMessageNeverOutgrowsADatagram) {
     Shares shares(std::vector<Tenant>(300, Tenant{5}), 3);
     std::vector<FleetView::Out> out;
@@ -218,8 +238,11 @@
     const std::vector<Row> rows{
         {"nothing", 6, {}, false, 2},
         {"no tag", 6, {0, 0, 7, 1}, false, 2},
-        {"another version's tag", 6, {FleetView::kTag + 1, 0, 7, 1}, false, 2},
+        {"another version's tag", 6, {FleetView::kTag + 2, 0, 7, 1}, false, 2},
         {"cut off in an entry", 6, {FleetView::kTag, 0, 7, 1, 0, 8}, false, 2},
+        {"each attempt by itself, cut off in one", 6, {FleetView::kTagEach, 0, 7, 0}, false, 2},
+        {"each attempt by itself, two there", 6, {FleetView::kTagEach, 0, 7, 0, 9, 0, 7}, true, 3},
+        {"each attempt by itself, none", 6, {FleetView::kTagEach}, true, 1},
         {"cut off behind the tag's first byte", 6, {FleetView::kTag, 0}, false, 2},
         {"longer than a datagram", 6, filled(259), false, 2},
         {"as long as may be", 6, filled(256), true, 1},
