Spare a majority's folders by what keepers are, not by what their leader remembers

The fault asks others_whole() before it takes a folder, and that asked the leader's record of what each had stored, which goes on saying so for one that died or lost its folder a moment ago.

Now each of the others has to run, vote, be in the leader's term and hold all that is committed.

--- a/src/sim/models/keeper.cpp
+++ b/src/sim/models/keeper.cpp
@@ -124,21 +124,26 @@
     disk_.sync_names();
 }
 
+// By what they are, not by what a leader remembers of them: one that is down, or whose folder was lost a
+// moment ago, would still count.
 bool KeeperDesk::others_whole() const {
     const lease::Office* leader = nullptr;
     for (const KeeperDesk* desk : scene_.all<KeeperDesk>())
-        if (desk->office() && desk->office()->keeper().leads() && desk->number_ != number_)
-            leader = desk->office();
+        if (desk->number_ != number_ && desk->office() && desk->office()->keeper().leads())
+            if (!leader || desk->office()->keeper().term() > leader->keeper().term()) leader = desk->office();
     if (!leader || leader->keeper().changing()) return false;
-    std::size_t whole = 1;
-    for (const auto& [id, peer] : leader->keeper().peers()) {
-        const auto& members = leader->keeper().members();
-        const auto member =
-            std::find_if(members.begin(), members.end(), [&, i = id](const auto& m) { return m.id == i; });
-        if (member == members.end() || !member->voter || peer.match < leader->keeper().commit()) continue;
-        whole += member->number != number_;
+    for (const KeeperDesk* desk : scene_.all<KeeperDesk>()) {
+        if (desk->number_ == number_) continue;
+        if (!desk->office() || desk->office()->keeper().retired()) return false;
+        const agree::Keeper& keeper = desk->office()->keeper();
+        if (keeper.last() < leader->keeper().commit() || keeper.term() != leader->keeper().term())
+            return false;
+        bool votes = false;
+        for (const agree::Member& member : leader->keeper().members())
+            votes = votes || (member.id == keeper.id() && member.voter);
+        if (!votes) return false;
     }
-    return whole + 1 >= settings_.keepers;
+    return true;
 }
 
 // ---- Events ----------------------------------------------------------------------------------------------
