--- a/src/agree/keeper.cpp
+++ b/src/agree/keeper.cpp
@@ -89,17 +89,7 @@
     return member ? std::optional(member->number) : std::nullopt;
 }
 
-std::uint64_t Keeper::draw() {  // SplitMix64
-    std::uint64_t h = lots_ += 0x9e3779b97f4a7c15;
-    h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9;
-    h = (h ^ (h >> 27)) * 0x94d049bb133111eb;
-    return h ^ (h >> 31);
-}
-
-void Keeper::set_election(Millis now) {
-    const double part = static_cast<double>(draw() >> 11) * 0x1.0p-53;
-    election_due_ = now + settings_.election * (1 + part);
-}
+void Keeper::set_election(Millis now) { election_due_ = now + settings_.election * (1 + lots_.unit()); }
 
 Message Keeper::message(Message::Kind kind, KeeperId to) const {
     Message m;
@@ -463,17 +453,25 @@
     }
 }
 
-void Keeper::on_append(Millis now, const Message& m) {
+// What a leader's message is answered with; none: it was no leader's any more, and has been told so.
+std::optional<Message> Keeper::hear_leader(Millis now, const Message& m) {
     Message answer = reply(Message::Kind::appended, m);
     answer.round = m.round;
     if (m.term < term_) {
         out_.push_back(std::move(answer));
-        return;
+        return {};
     }
     if (role_ == Role::leader && m.term == term_) throw Broken("two leaders in one term");
     follow(now, m.term, m.from);
     leader_heard_ = now;
     answer.term = term_;
+    return answer;
+}
+
+void Keeper::on_append(Millis now, const Message& m) {
+    auto heard = hear_leader(now, m);
+    if (!heard) return;
+    Message& answer = *heard;
     if (m.index > last()) {
         answer.index = last();
     } else if (m.index < snapshot_.index) {
@@ -505,16 +503,9 @@
 }
 
 void Keeper::on_snapshot(Millis now, const Message& m) {
-    Message answer = reply(Message::Kind::appended, m);
-    answer.round = m.round;
-    if (m.term < term_) {
-        out_.push_back(std::move(answer));
-        return;
-    }
-    if (role_ == Role::leader && m.term == term_) throw Broken("two leaders in one term");
-    follow(now, m.term, m.from);
-    leader_heard_ = now;
-    answer.term = term_;
+    auto heard = hear_leader(now, m);
+    if (!heard) return;
+    Message& answer = *heard;
     const Snapshot& s = *m.snapshot;
     if (s.index > commit_) {
         const bool goes_on = s.index <= last() && term_at(s.index) == s.term;
--- a/src/agree/keeper.hpp
+++ b/src/agree/keeper.hpp
@@ -21,6 +21,7 @@
 #include <stdexcept>
 
 #include "agree/types.hpp"
+#include "random.hpp"
 
 namespace cobaltshift::agree {
 
@@ -149,6 +150,7 @@
     void lead(Millis now);
     void broadcast(Millis now, bool again = false);  // `again`: what got no word since the last heartbeat
     void send_entries(KeeperId to, bool even_if_empty);
+    std::optional<Message> hear_leader(Millis now, const Message& m);
     void on_append(Millis now, const Message& m);
     void on_snapshot(Millis now, const Message& m);
     void on_appended(Millis now, const Message& m);
@@ -160,12 +162,11 @@
     void look_after_members(Millis now);
     Message message(Message::Kind kind, KeeperId to) const;
     Message reply(Message::Kind kind, const Message& to) const;
-    std::uint64_t draw();
 
     Settings settings_;
     const KeeperId id_;
     const Run run_;
-    std::uint64_t lots_;
+    kelplb::Random lots_;
     Term term_;
     KeeperId voted_;
     Snapshot snapshot_;
--- a/src/lab/lease_world.cpp
+++ b/src/lab/lease_world.cpp
@@ -15,19 +15,15 @@
     const std::vector<sim::Played> played = play_all(days);
     Result result;
     std::map<std::string, double> sums;
-    double broken = 0, longest = 0;
+    const double broken = broken_days(result, days, played);
+    double longest = 0;
     std::uint64_t digest = 0;
     for (std::size_t i = 0; i < played.size(); ++i) {
         const sim::Played& p = played[i];
-        broken += p.broken > 0;
         digest = digest * 31 + p.digest;
         for (const auto& [name, value] : p.figures) sums[name] += value;
         if (const auto at = p.figures.find("longest without a holder"); at != p.figures.end())
             longest = std::max(longest, at->second);
-        if (p.broken > 0 && broken <= 5)
-            result.note("seed " + std::to_string(days[i].seed) + ": " +
-                        std::to_string(static_cast<long>(p.findings[0].at)) + " ms: " + p.findings[0].rule +
-                        ": " + p.findings[0].what);
     }
     result.columns(
         {"days", "acts", "stale acts refused", "rights gained", "leaders", "new lives", "spoilt folders"});
--- a/src/lab/sim_world.cpp
+++ b/src/lab/sim_world.cpp
@@ -30,6 +30,19 @@
     return played;
 }
 
+double broken_days(Result& result, const std::vector<sim::Case>& days,
+                   const std::vector<sim::Played>& played) {
+    double broken = 0;
+    for (std::size_t i = 0; i < played.size(); ++i) {
+        const sim::Played& p = played[i];
+        if (p.broken == 0 || ++broken > 5) continue;
+        result.note("seed " + std::to_string(days[i].seed) + ": " +
+                    std::to_string(static_cast<long>(p.findings[0].at)) + " ms: " + p.findings[0].rule +
+                    ": " + p.findings[0].what);
+    }
+    return broken;
+}
+
 namespace {
 
 double of(const sim::Played& played, const char* figure) {
@@ -47,18 +60,15 @@
     const auto played = play_all(days);
     const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
     Result result;
-    double broken = 0, asked = 0, taken = 0, refused = 0, cold = 0, grants = 0, events = 0;
+    const double broken = broken_days(result, days, played);
+    double asked = 0, taken = 0, refused = 0, cold = 0, grants = 0, events = 0;
     std::uint64_t digest = 0;
     for (std::size_t i = 0; i < played.size(); ++i) {
         const sim::Played& p = played[i];
-        broken += p.broken > 0, asked += of(p, "asked"), events += static_cast<double>(p.events);
+        asked += of(p, "asked"), events += static_cast<double>(p.events);
         taken += of(p, "plans taken"), refused += of(p, "plans refused");
         cold = std::max(cold, of(p, "cold peak")), grants = std::max(grants, of(p, "grant peak"));
         digest = digest * 31 + p.digest;
-        if (p.broken > 0 && broken <= 5)
-            result.note("seed " + std::to_string(days[i].seed) + ": " +
-                        std::to_string(static_cast<long>(p.findings[0].at)) + " ms: " + p.findings[0].rule +
-                        ": " + p.findings[0].what);
     }
     result.columns(
         {"days", "requests", "plans taken", "plans refused", "cold peak", "grant peak", "events/s"});
--- a/src/lab/sim_world.hpp
+++ b/src/lab/sim_world.hpp
@@ -8,6 +8,9 @@
 
 // Each day played whole by one thread, whichever is free.
 std::vector<sim::Played> play_all(const std::vector<sim::Case>& days);
+// How many days broke a rule; the first few are noted with their seeds.
+double broken_days(Result& result, const std::vector<sim::Case>& days,
+                   const std::vector<sim::Played>& played);
 // Drawn days; no rule is broken.
 Result plan_world(const Run& run);
 // Plays the day of a seed, or of a case's file, and prints what its findings' subjects went through, or with
--- a/src/lease/holder.cpp
+++ b/src/lease/holder.cpp
@@ -14,13 +14,6 @@
       lots_(draw),
       keeper_(static_cast<std::uint32_t>(draw % std::max(1U, settings.keepers))) {}
 
-double Holder::unit() {  // SplitMix64
-    std::uint64_t h = lots_ += 0x9e3779b97f4a7c15;
-    h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9;
-    h = (h ^ (h >> 27)) * 0x94d049bb133111eb;
-    return static_cast<double>((h ^ (h >> 31)) >> 11) * 0x1.0p-53;
-}
-
 void Holder::want(Millis now, const std::string& task, Millis length, bool wait) {
     Wanted& one = wanted_[task];
     one.length = std::clamp(length, kShortest, kLongest);
@@ -65,7 +58,7 @@
     if (one.releasing) q.next = one.next;
     one.asked_at = now;
     one.outstanding = true;
-    one.due = now + settings_.answer * (1 + kSpread * (2 * unit() - 1));
+    one.due = now + settings_.answer * (1 + kSpread * (2 * lots_.unit() - 1));
     ++counts_.questions;
     out_.push_back({keeper_, std::move(q)});
 }
@@ -92,7 +85,7 @@
             ++counts_.unanswered;
             keeper_ = (keeper_ + 1) % std::max(1U, settings_.keepers);
             one.pause = std::min(settings_.longest_pause, std::max(kFirstPause, 2 * one.pause));
-            one.due = now + one.pause * unit();
+            one.due = now + one.pause * lots_.unit();
             if (one.due > now) {
                 ++at;
                 continue;
@@ -113,16 +106,16 @@
         // To whom it names; if it knows nobody, the next one, and not at once.
         if (a.place < settings_.keepers && a.place != keeper_) {
             keeper_ = a.place;
-            one.due = now + 5 * unit();
+            one.due = now + 5 * lots_.unit();
         } else {
             keeper_ = (keeper_ + 1) % std::max(1U, settings_.keepers);
             one.pause = std::min(settings_.longest_pause, std::max(kFirstPause, 2 * one.pause));
-            one.due = now + one.pause * (0.5 + unit() / 2);
+            one.due = now + one.pause * (0.5 + lots_.unit() / 2);
         }
         return;
     }
     one.pause = 0;
-    const double spread = 1 + kSpread * (2 * unit() - 1);
+    const double spread = 1 + kSpread * (2 * lots_.unit() - 1);
     switch (a.kind) {
         case Answer::Kind::held:
             one.queued = false;
--- a/src/lease/holder.hpp
+++ b/src/lease/holder.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "lease/types.hpp"
+#include "random.hpp"
 
 namespace cobaltshift::lease {
 
@@ -73,10 +74,9 @@
         bool queued = false;
     };
     void ask(Millis now, const std::string& task, Wanted& one);
-    double unit();
 
     HolderSettings settings_;
-    std::uint64_t lots_;
+    kelplb::Random lots_;
     std::uint32_t keeper_;  // believed to lead
     std::uint64_t next_number_ = 1;
     std::map<std::string, Wanted> wanted_;
--- a/src/lease/office.cpp
+++ b/src/lease/office.cpp
@@ -10,6 +10,15 @@
 constexpr Millis kLookAtWaiters = 500;
 constexpr std::size_t kNewestMost = 20000;  // holders whose last question's number is remembered
 constexpr std::size_t kListedMost = 2000;
+
+Op op_of(Op::Kind kind, const std::string& task, HolderId holder, Fence fence) {
+    Op op;
+    op.kind = kind;
+    op.task = task;
+    op.holder = holder;
+    op.fence = fence;
+    return op;
+}
 }  // namespace
 
 Office::Office(const OfficeSettings& settings, agree::Stored stored, Millis now, std::uint64_t draw)
@@ -41,11 +50,7 @@
         // Whoever waits and has been silent is passed over, or the right would be nobody's for another
         // length.
         withdraw_silent(now, task, settings_.waiter_silence / 2);
-        Op op;
-        op.kind = Op::Kind::lapse;
-        op.task = task;
-        op.fence = held.fence;
-        propose(op);
+        propose(op_of(Op::Kind::lapse, task, 0, held.fence));
         ++counts_.lapses;
     }
     if (now < waiters_due_) return;
@@ -64,11 +69,7 @@
         if (heard.at == 0) heard.at = now;  // in the queue before this keeper led
         if (now < heard.at + silence) continue;
         heard.at = now;
-        Op op;
-        op.kind = Op::Kind::withdraw;
-        op.task = name;
-        op.holder = waiter.holder;
-        propose(op);
+        propose(op_of(Op::Kind::withdraw, name, waiter.holder, 0));
     }
 }
 
@@ -118,20 +119,12 @@
             if (!task || task->holder != question.holder || task->fence != question.fence) {
                 if (task && std::any_of(task->queue.begin(), task->queue.end(),
                                         [&](const Book::Waiter& w) { return w.holder == question.holder; })) {
-                    Op op;
-                    op.kind = Op::Kind::withdraw;
-                    op.task = question.task;
-                    op.holder = question.holder;
-                    propose(op);
+                    propose(op_of(Op::Kind::withdraw, question.task, question.holder, 0));
                 }
                 answer.kind = Answer::Kind::lost;
                 return say(client, question, answer);
             }
-            Op op;
-            op.kind = Op::Kind::release;
-            op.task = question.task;
-            op.holder = question.holder;
-            op.fence = question.fence;
+            Op op = op_of(Op::Kind::release, question.task, question.holder, question.fence);
             op.next = question.next;
             if (propose(op)) ending_[{question.task, question.holder}] = {client, question.number};
             return;
@@ -142,12 +135,8 @@
                 answer.kind = Answer::Kind::lost;
                 return say(client, question, answer);
             }
-            Op op;
-            op.kind = Op::Kind::revoke;
-            op.task = question.task;
-            op.holder = question.holder;
-            op.fence = task->fence;
-            if (propose(op)) ending_[{question.task, question.holder}] = {client, question.number};
+            if (propose(op_of(Op::Kind::revoke, question.task, question.holder, task->fence)))
+                ending_[{question.task, question.holder}] = {client, question.number};
             return;
         }
         case Question::Kind::list:
@@ -185,10 +174,7 @@
                 answer.by = task->name;
                 return say(client, question, answer);
             }
-    Op op;
-    op.kind = Op::Kind::want;
-    op.task = question.task;
-    op.holder = question.holder;
+    Op op = op_of(Op::Kind::want, question.task, question.holder, 0);
     op.name = question.name;
     op.length = question.length;
     op.wait = question.wait;
--- a/src/sim/faults/lease.cpp
+++ b/src/sim/faults/lease.cpp
@@ -1,24 +1,12 @@
 // What happens to keepers, to holders, and to the links between them. Each counts itself where it truly
 // struck.
-#include <charconv>
-
+#include "sim/faults/common.hpp"
 #include "sim/models/holder.hpp"
 
 namespace cobaltshift::sim {
 
 namespace {
 
-template <class T>
-T& one_of(Scene& scene, const Fault& fault, const char* what) {
-    std::size_t number = 0;
-    const std::string& text = fault.target;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() ||
-        number >= scene.all<T>().size())
-        throw ModelError("fault " + fault.kind + ": there is no " + what + " '" + text + "'");
-    return *scene.all<T>().at(number);
-}
-
 void struck(Scene& scene, const std::string& what) { scene.figure("struck: " + what) += 1; }
 
 // Dies and comes back. amount: what has become of its folder meanwhile: 0 as a crash leaves it, 1 lost whole,
@@ -109,14 +97,6 @@
 }
 bool odd(const std::string& name) { return (name.back() - '0') % 2 != 0; }
 
-void impose(Scene& scene, const Fault& fault, Network::Match match, Link link) {
-    scene.kernel.at(fault.at, [&scene, fault, match = std::move(match), link] {
-        struck(scene, fault.kind);
-        const std::uint64_t rule = scene.network.impose(match, link);
-        scene.kernel.after(fault.length, [&scene, rule] { scene.network.lift(rule); });
-    });
-}
-
 // Everything between them: amount is the part lost; others are doubled, bent, overtaken, and a few come a
 // minute late.
 const Registered kLossy = Registered::fault("lease-lossy", [](Scene& scene, const Fault& fault) {
@@ -125,8 +105,8 @@
     link.loss = fault.amount, link.doubled = 0.1, link.bent = 0.02;
     impose(
         scene, fault,
-        [](const std::string& from, const std::string& to) { return of_leases(from) && of_leases(to); },
-        link);
+        [](const std::string& from, const std::string& to) { return of_leases(from) && of_leases(to); }, link,
+        true);
 });
 // One keeper apart. amount: 0 both ways from everybody, 1 from the keepers only (its holders hear it still),
 // 2 it hears nothing, 3 nobody hears it.
@@ -143,7 +123,7 @@
                        (to == whom && from.starts_with("keeper-"));
             return (how != 2 && from == whom) || (how != 3 && to == whom);
         },
-        link);
+        link, true);
 });
 // Those with an odd number from the others, keepers and holders alike.
 const Registered kSplit = Registered::fault("lease-split", [](Scene& scene, const Fault& fault) {
@@ -155,7 +135,7 @@
             return of_leases(from) && of_leases(to) && from != "target" && to != "target" &&
                    odd(from) != odd(to);
         },
-        link);
+        link, true);
 });
 // Answers to holders are lost, questions are not.
 const Registered kDeaf = Registered::fault("answers-lost", [](Scene& scene, const Fault& fault) {
@@ -166,7 +146,7 @@
         [](const std::string& from, const std::string& to) {
             return from.starts_with("keeper-") && to.starts_with("holder-");
         },
-        link);
+        link, true);
 });
 
 }  // namespace
--- a/src/sim/faults/plan.cpp
+++ b/src/sim/faults/plan.cpp
@@ -1,6 +1,5 @@
 // What happens to planners, to forwarders as their readers, and to the way between them.
-#include <charconv>
-
+#include "sim/faults/common.hpp"
 #include "sim/models/forwarder.hpp"
 #include "sim/models/planner.hpp"
 
@@ -8,17 +7,6 @@
 
 namespace {
 
-template <class T>
-T& one_of(Scene& scene, const Fault& fault, const char* what) {
-    std::size_t number = 0;
-    const std::string& text = fault.target;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() ||
-        number >= scene.all<T>().size())
-        throw ModelError("fault " + fault.kind + ": there is no " + what + " '" + text + "'");
-    return *scene.all<T>().at(number);
-}
-
 // Dies and comes back; amount: what has become of its disk meanwhile (0 as a crash leaves it, 1 lost whole, 2
 // a bit of it rotten, 3 full).
 const Registered kDown = Registered::fault("planner-down", [](Scene& scene, const Fault& fault) {
@@ -57,13 +45,6 @@
 bool planner(const std::string& name) { return name.starts_with("planner-"); }
 bool odd(const std::string& name) { return (name.back() - '0') % 2 != 0; }
 
-void impose(Scene& scene, const Fault& fault, Network::Match match, Link link) {
-    scene.kernel.at(fault.at, [&scene, fault, match = std::move(match), link] {
-        const std::uint64_t rule = scene.network.impose(match, link);
-        scene.kernel.at(fault.at + fault.length, [&scene, rule] { scene.network.lift(rule); });
-    });
-}
-
 // All that goes to and from planners: amount is the part lost; others are doubled, bent, and delayed past
 // their life.
 const Registered kLossy = Registered::fault("lossy", [](Scene& scene, const Fault& fault) {
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -58,8 +58,6 @@
 
 }  // namespace
 
-std::string started(std::uint64_t starts) { return record(Kind::starts, pair_of(starts, 0)); }
-
 std::string records_of(const agree::Ready& ready) {
     std::string bytes;
     if (ready.vote) bytes += record(Kind::vote, pair_of(ready.vote->term, ready.vote->voted));
@@ -77,7 +75,8 @@
 }
 
 std::string records_of(const agree::Stored& stored) {
-    std::string bytes = record(Kind::life, pair_of(stored.fleet, stored.id)) + started(stored.starts) +
+    std::string bytes = record(Kind::life, pair_of(stored.fleet, stored.id)) +
+                        record(Kind::starts, pair_of(stored.starts, 0)) +
                         record(Kind::vote, pair_of(stored.term, stored.voted)) +
                         record(Kind::snapshot, agree::encode(stored.snapshot));
     agree::Index index = stored.snapshot.index + 1;
--- a/src/store/journal.hpp
+++ b/src/store/journal.hpp
@@ -15,7 +15,6 @@
 std::string records_of(const agree::Ready& ready);
 // The file that leads to `stored` alone.
 std::string records_of(const agree::Stored& stored);
-std::string started(std::uint64_t starts);  // one more run
 
 struct Replayed {
     enum class Found { nothing, whole, torn, spoilt };
