--- /dev/null
+++ b/src/lease_cli.cpp
@@ -0,0 +1,324 @@
+#include "lease_cli.hpp"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <csignal>
+#include <iomanip>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "lease/codec.hpp"
+#include "lease_io/ask.hpp"
+#include "lease_io/clock.hpp"
+#include "lease_io/keeper_node.hpp"
+#include "net/log.hpp"
+
+namespace cobaltshift {
+
+namespace {
+
+using nlohmann::json;
+
+// 1500ms, 30s, 2m; without a unit: seconds. In milliseconds.
+CLI::Validator duration() {
+    return CLI::AsNumberWithUnit(std::map<std::string, double>{{"ms", 1}, {"s", 1000}, {"m", 60000}},
+                                 CLI::AsNumberWithUnit::UNIT_REQUIRED, "DURATION");
+}
+
+std::chrono::milliseconds millis(lease::Millis value) {
+    return std::chrono::milliseconds(static_cast<long>(value));
+}
+
+lease::Question question(lease::Question::Kind kind, const std::string& task) {
+    lease::Question q;
+    q.kind = kind;
+    q.holder = 1 + (static_cast<std::uint64_t>(randombytes_random()) << 20);
+    q.number = 1;
+    q.name = "operator";
+    q.task = task;
+    return q;
+}
+
+// The answer of the keeper that leads.
+std::optional<lease::Answer> asked(const lease::KeepersSettings& settings, const lease::Question& q,
+                                   lease::Millis within) {
+    std::optional<lease::Answer> answer;
+    lease::ask(settings, lease::FrameKind::question, encode(q), millis(within),
+               [&](std::uint32_t, lease::FrameKind kind, std::string_view payload) {
+                   std::string why;
+                   if (kind != lease::FrameKind::answer) return false;
+                   auto one = lease::decode_answer(payload, why);
+                   if (!one || one->kind == lease::Answer::Kind::elsewhere) return false;
+                   answer = std::move(one);
+                   return true;
+               });
+    return answer;
+}
+
+int nobody_leads(lease::Millis within) {
+    std::cerr << "cobaltshift: no keeper that leads answered within " << within / 1000 << " s\n";
+    return 1;
+}
+
+// What every keeper that answers says of itself, by number.
+std::map<std::uint32_t, json> statuses(const lease::KeepersSettings& settings, lease::Millis within) {
+    std::map<std::uint32_t, json> all;
+    lease::ask(settings, lease::FrameKind::order, json{{"do", "status"}}.dump(), millis(within),
+               [&](std::uint32_t number, lease::FrameKind kind, std::string_view payload) {
+                   if (kind != lease::FrameKind::report) return false;
+                   json said = json::parse(payload, nullptr, false);
+                   if (said.is_object()) all[number] = std::move(said);
+                   return all.size() == settings.keepers.size();
+               });
+    return all;
+}
+
+const json* leader_of(const std::map<std::uint32_t, json>& all) {
+    const json* leader = nullptr;
+    for (const auto& [number, said] : all)
+        if (said.value("leads", false) && (!leader || said.value("term", 0ULL) > leader->value("term", 0ULL)))
+            leader = &said;
+    return leader;
+}
+
+struct Row {
+    std::string task, holder, fence, left, queue, state;
+};
+std::vector<Row> rows(const std::string& text) {
+    std::vector<Row> all;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        std::istringstream fields(line);
+        Row row;
+        for (std::string* field : {&row.task, &row.holder, &row.fence, &row.left, &row.queue, &row.state})
+            std::getline(fields, *field, '\t');
+        if (!row.state.empty()) all.push_back(std::move(row));
+    }
+    return all;
+}
+
+}  // namespace
+
+LeaseCli::LeaseCli(CLI::App& app, std::string& settings_file) : file_(settings_file) {
+    const auto common = [&](CLI::App* command, bool needed = true) {
+        auto* option = command->add_option("--settings", file_, "our own settings; [keepers] is needed");
+        if (needed) option->required();
+        return command;
+    };
+    const auto asks = [&](CLI::App* command) {
+        common(command);
+        command->add_flag("--json", json_, "one JSON value instead of a table");
+        command->add_option("--within", within_, "for an answer")->transform(duration());
+        return command;
+    };
+    keeper_ = common(app.add_subcommand("keeper", "one of the few that agree who holds which right"), false);
+    keeper_->require_subcommand(0, 1);
+    found_ = common(
+        keeper_->add_subcommand("found", "once for each first keeper: makes its empty folder a founder's"));
+    status_ = asks(keeper_->add_subcommand("status", "what each keeper says of itself; 1 if none leads"));
+    remove_ = asks(keeper_->add_subcommand("remove", "a stopped keeper is no member any more"));
+    remove_->add_option("KEEPER", number_, "its number")->required();
+    add_ = asks(
+        keeper_->add_subcommand("add", "waits until a keeper that has been started is a member with a vote"));
+    add_->add_option("KEEPER", number_, "its number")->required();
+    lease_ = app.add_subcommand("lease", "rights to tasks of the whole fleet");
+    lease_->require_subcommand(1);
+    run_ = common(lease_->add_subcommand("run", "runs a command while it holds the right to a task"));
+    run_->add_option("TASK", command_.task)->required();
+    run_->add_option("--length", command_.length, "of the right between renewals")->transform(duration());
+    run_->add_option("--grace", command_.grace,
+                     "between SIGTERM and the right's end; a third of the length at most")
+        ->transform(duration());
+    run_->add_flag("--no-wait", no_wait_, "ends at once with 75 where another holds it");
+    run_->add_option("--wait", command_.wait_at_most, "ends with 75 where it isn't held within this time")
+        ->transform(duration());
+    run_->add_option("--name", command_.name, "of this process, for people; else host and process id");
+    run_->add_option("--next", command_.next, "who of those who wait is to have it afterwards");
+    run_->add_option("COMMAND", command_.words, "after --")->required();
+    list_ = asks(lease_->add_subcommand("list", "who holds what"));
+    list_->add_option("PREFIX", task_, "of tasks' names");
+    show_ = asks(lease_->add_subcommand("show", "who holds this task; 1 if nobody does"));
+    show_->add_option("TASK", task_)->required();
+    revoke_ = asks(
+        lease_->add_subcommand("revoke", "the right to a task is not renewed: it ends within its length"));
+    revoke_->add_option("TASK", task_)->required();
+}
+
+void LeaseCli::need_keepers() const {
+    if (settings_.keepers.keepers.empty()) throw SettingsError(file_ + ": keepers.addresses is missing");
+}
+
+int LeaseCli::run() {
+    if (file_.empty()) {
+        std::cerr << "cobaltshift: --settings is required\n";
+        return 2;
+    }
+    settings_ = load_settings(file_);
+    need_keepers();
+    if (sodium_init() < 0) throw std::runtime_error("libsodium can't start");
+    if (keeper_->parsed()) {
+        if (found_->parsed()) return found();
+        if (status_->parsed()) return status();
+        if (remove_->parsed()) return remove();
+        if (add_->parsed()) return add();
+        return keep();
+    }
+    if (run_->parsed()) return run_under_right();
+    if (list_->parsed()) return list(false);
+    if (show_->parsed()) return list(true);
+    return revoke();
+}
+
+// ---- Keepers ---------------------------------------------------------------------------------------------
+
+int LeaseCli::keep() {
+    if (!settings_.keeper) throw SettingsError(file_ + ": keeper is missing");
+    lease::asio::io_context io(1);
+    lease::asio::signal_set stop(io, SIGTERM, SIGINT);
+    lease::KeeperNode node(io, *settings_.keeper, settings_.keepers);
+    node.when_over([&] { io.stop(); });
+    stop.async_wait([&](lease::error_code ec, int) {
+        if (ec) return;
+        node.stop();
+        io.stop();
+    });
+    std::ostringstream address;
+    address << node.endpoint();
+    log_line("listens on " + address.str());
+    io.run();
+    return node.over().empty() ? 0 : 1;
+}
+
+int LeaseCli::found() {
+    if (!settings_.keeper) throw SettingsError(file_ + ": keeper is missing");
+    lease::found(*settings_.keeper, settings_.keepers.keepers.size());
+    log_line("keeper " + std::to_string(settings_.keeper->office.agree.number) + " of '" +
+             settings_.keeper->fleet + "' is founded in " + settings_.keeper->folder);
+    return 0;
+}
+
+int LeaseCli::status() {
+    const auto all = statuses(settings_.keepers, std::min(within_, 2000.0));
+    const json* leader = leader_of(all);
+    if (json_) {
+        json whole = json::array();
+        for (const auto& [number, said] : all) whole.push_back(said);
+        std::cout << whole.dump(2) << '\n';
+        return leader ? 0 : 1;
+    }
+    std::cout << "keeper  address                role       term  stored  tasks  syncs  longest ms\n";
+    for (std::uint32_t n = 0; n < settings_.keepers.keepers.size(); ++n) {
+        std::ostringstream address;
+        address << settings_.keepers.keepers[n];
+        std::cout << std::left << std::setw(8) << n << std::setw(23) << address.str();
+        const auto at = all.find(n);
+        if (at == all.end()) {
+            std::cout << "no answer\n";
+            continue;
+        }
+        const json& said = at->second;
+        std::string role = said.value("role", "?");
+        for (const json& member : leader ? (*leader)["members"] : json::array())
+            if (member.value("number", 99U) == n && !member.value("voter", true)) role = "learner";
+        std::cout << std::setw(11) << role << std::setw(6) << said.value("term", 0ULL) << std::setw(8)
+                  << said.value("last", 0ULL) << std::setw(7) << said.value("tasks", 0ULL) << std::setw(7)
+                  << said.value("syncs", 0ULL) << std::fixed << std::setprecision(1)
+                  << said.value("longest_sync_ms", 0.0) << '\n';
+    }
+    if (!leader) std::cout << "no keeper leads: no right is given or renewed\n";
+    return leader ? 0 : 1;
+}
+
+int LeaseCli::remove() {
+    json said;
+    const auto done = lease::ask(settings_.keepers, lease::FrameKind::order,
+                                 json{{"do", "remove"}, {"keeper", number_}}.dump(), millis(within_),
+                                 [&](std::uint32_t, lease::FrameKind kind, std::string_view payload) {
+                                     if (kind != lease::FrameKind::report) return false;
+                                     said = json::parse(payload, nullptr, false);
+                                     return said.is_object() && said.value("error", "") != "does not lead";
+                                 });
+    if (!done) return nobody_leads(within_);
+    if (said.contains("error")) {
+        std::cerr << "cobaltshift: " << said.value("error", "") << '\n';
+        return 1;
+    }
+    std::cout << (json_ ? said.dump() : "keeper " + std::to_string(number_) + " is no member any more")
+              << '\n';
+    return 0;
+}
+
+int LeaseCli::add() {
+    const lease::Millis end = lease::own_clock() + within_;
+    while (lease::own_clock() < end) {
+        const auto all = statuses(settings_.keepers, 500);
+        if (const json* leader = leader_of(all))
+            for (const json& member : (*leader)["members"])
+                if (member.value("number", 99U) == number_ && member.value("voter", false)) {
+                    std::cout << (json_ ? member.dump() : "keeper " + std::to_string(number_) + " votes")
+                              << '\n';
+                    return 0;
+                }
+    }
+    std::cerr << "cobaltshift: keeper " << number_ << " has no vote within " << within_ / 1000 << " s\n";
+    return 1;
+}
+
+// ---- Rights ----------------------------------------------------------------------------------------------
+
+int LeaseCli::list(bool exactly_one) {
+    const auto answer = asked(settings_.keepers, question(lease::Question::Kind::list, task_), within_);
+    if (!answer) return nobody_leads(within_);
+    std::vector<Row> all = rows(answer->text);
+    if (exactly_one) std::erase_if(all, [&](const Row& row) { return row.task != task_; });
+    if (json_) {
+        json whole = json::array();
+        for (const Row& row : all)
+            whole.push_back({{"task", row.task},
+                             {"holder", row.holder},
+                             {"fence", std::stoull(row.fence)},
+                             {"left_ms", std::stoll(row.left)},
+                             {"waiting", std::stoull(row.queue)},
+                             {"state", row.state}});
+        std::cout << whole.dump(2) << '\n';
+    } else {
+        std::cout
+            << "task                            holder                  fence     left s  waiting  state\n";
+        for (const Row& row : all)
+            std::cout << std::left << std::setw(32) << row.task << std::setw(24) << row.holder
+                      << std::setw(10) << row.fence << std::setw(8) << std::fixed << std::setprecision(1)
+                      << std::stod(row.left) / 1000 << std::setw(9) << row.queue << row.state << '\n';
+    }
+    return exactly_one && all.empty() ? 1 : 0;
+}
+
+int LeaseCli::revoke() {
+    const auto answer = asked(settings_.keepers, question(lease::Question::Kind::revoke, task_), within_);
+    if (!answer) return nobody_leads(within_);
+    if (answer->kind != lease::Answer::Kind::done) {
+        std::cerr << "cobaltshift: nobody holds " << task_ << '\n';
+        return 1;
+    }
+    std::cout << (json_ ? json{{"revoked", task_}}.dump() : task_ + " is not renewed any more") << '\n';
+    return 0;
+}
+
+int LeaseCli::run_under_right() {
+    command_.wait = !no_wait_;
+    if (command_.length < lease::kShortest || command_.length > lease::kLongest ||
+        settings_.keepers.margin > command_.length / 3) {
+        std::cerr << "cobaltshift: --length must be between 200ms and 60m, and three times keepers.margin_ms "
+                     "at least\n";
+        return 2;
+    }
+    if (command_.task.empty() || command_.task.size() > lease::kMaxName ||
+        std::any_of(command_.task.begin(), command_.task.end(), [](unsigned char c) { return c < 0x20; })) {
+        std::cerr << "cobaltshift: a task's name has 1 to " << lease::kMaxName << " bytes, none of control\n";
+        return 2;
+    }
+    return lease::run_command(settings_.keepers, command_);
+}
+
+}  // namespace cobaltshift
--- /dev/null
+++ b/src/lease_io/ask.cpp
@@ -0,0 +1,48 @@
+#include "lease_io/ask.hpp"
+
+#include "lease_io/clock.hpp"
+#include "lease_io/line.hpp"
+
+namespace cobaltshift::lease {
+
+namespace {
+constexpr std::size_t kLargestAnswer = 1024 * 1024, kMostQueued = 64 * 1024;
+constexpr std::chrono::milliseconds kAgain{300};
+}  // namespace
+
+std::optional<std::string> ask(const KeepersSettings& settings, FrameKind kind, const std::string& payload,
+                               std::chrono::milliseconds within,
+                               const std::function<bool(std::uint32_t, FrameKind, std::string_view)>& take) {
+    asio::io_context io(1);
+    const Secret secret = Secret::from_file(settings.secret_file);
+    std::optional<std::string> taken;
+    std::vector<std::unique_ptr<Line>> lines;
+    for (std::uint32_t n = 0; n < settings.keepers.size(); ++n)
+        lines.push_back(std::make_unique<Line>(io, settings.keepers[n], secret, Role::client, kLargestAnswer,
+                                               kMostQueued,
+                                               static_cast<std::uint64_t>(own_clock() * 1000) + n,
+                                               [&, n](FrameKind said, std::string_view answer) {
+                                                   if (taken || !take(n, said, answer)) return;
+                                                   taken = std::string(answer);
+                                                   io.stop();
+                                               }));
+    // To all at once: whoever leads answers for the fleet, the others say that they don't; and again, as
+    // another may lead by then.
+    asio::steady_timer again(io), end(io);
+    const std::function<void()> round = [&] {
+        for (const auto& line : lines) line->send(kind, payload);
+        again.expires_after(kAgain);
+        again.async_wait([&](error_code ec) {
+            if (!ec) round();
+        });
+    };
+    round();
+    end.expires_after(within);
+    end.async_wait([&](error_code ec) {
+        if (!ec) io.stop();
+    });
+    io.run();
+    return taken;
+}
+
+}  // namespace cobaltshift::lease
--- /dev/null
+++ b/src/lease_io/keeper_node.cpp
@@ -0,0 +1,335 @@
+#include "lease_io/keeper_node.hpp"
+
+#include <sodium.h>
+#include <xxhash.h>
+
+#include <nlohmann/json.hpp>
+
+#include "agree/codec.hpp"
+#include "lease/codec.hpp"
+#include "lease_io/clock.hpp"
+#include "net/log.hpp"
+
+namespace cobaltshift::lease {
+
+namespace {
+
+constexpr std::size_t kPeerQueue = 2 * agree::kMaxMessageBytes, kClientQueue = 1024 * 1024;
+constexpr std::chrono::milliseconds kFullDiskPause{1000};
+
+std::uint64_t drawn() {
+    std::uint64_t value = 0;
+    randombytes_buf(&value, sizeof value);
+    return value;
+}
+
+const char* name_of(agree::Keeper::Role role) {
+    switch (role) {
+        case agree::Keeper::Role::leader:
+            return "leader";
+        case agree::Keeper::Role::follower:
+            return "follower";
+        default:
+            return "candidate";
+    }
+}
+
+}  // namespace
+
+std::uint64_t fleet_number(const std::string& name) { return XXH3_64bits(name.data(), name.size()); }
+
+void found(const KeeperSettings& own, std::size_t keepers) {
+    store::Folder folder(own.folder);
+    if (folder.found() != store::Folder::Found::nothing)
+        throw KeeperError("folder " + own.folder + " holds a keeper already: nothing is founded in it");
+    folder.begin(agree::founded(fleet_number(own.fleet), own.office.agree.number,
+                                static_cast<std::uint32_t>(keepers)));
+}
+
+KeeperNode::KeeperNode(asio::io_context& io, KeeperSettings own, KeepersSettings all)
+    : io_(io),
+      own_(std::move(own)),
+      all_(std::move(all)),
+      secret_(Secret::from_file(all_.secret_file)),
+      office_settings_(own_.office),
+      acceptor_(io, own_.listen),
+      timer_(io),
+      accept_timer_(io) {
+    office_settings_.agree.fleet = fleet_number(own_.fleet);
+    office_settings_.agree.keepers = static_cast<std::uint32_t>(all_.keepers.size());
+    boot();
+    for (std::uint32_t n = 0; n < all_.keepers.size(); ++n) {
+        if (n == own_.office.agree.number) continue;
+        // Keepers say nothing on a connection that they took: each dials the others for what it has to say.
+        peers_[n] = std::make_unique<Line>(io_, all_.keepers[n], secret_, Role::keeper, 1024, kPeerQueue,
+                                           drawn(), [](FrameKind, std::string_view) {});
+        peers_[n]->keep();
+    }
+    accept();
+    pump();
+}
+
+KeeperNode::~KeeperNode() { stop(); }
+
+bool KeeperNode::votes() const {
+    if (!office_) return false;
+    const auto& members = office_->keeper().members();
+    return std::any_of(members.begin(), members.end(), [&](const agree::Member& member) {
+        return member.id == office_->keeper().id() && member.voter;
+    });
+}
+
+void KeeperNode::stop() {
+    stopped_ = true;
+    error_code ignored;
+    acceptor_.close(ignored);
+    timer_.cancel();
+    accept_timer_.cancel();
+    for (auto& [number, session] : sessions_) session.channel->close();
+    sessions_.clear();
+    peers_.clear();
+    office_.reset();
+    folder_.reset();
+}
+
+void KeeperNode::end(const std::string& why) {
+    if (!over_.empty()) return;
+    over_ = why;
+    log_line(why);
+    stop();
+    if (told_) asio::post(io_, told_);
+}
+
+// What is no member's any more, or can't be vouched for, is set aside, and a new life begins: it asks the
+// others to be taken in, and has no vote before.
+void KeeperNode::begin_anew(const std::string& why) {
+    ++counts_.lives;
+    log_line("keeper " + std::to_string(own_.office.agree.number) + " begins a new life: " + why);
+    folder_->begin(agree::newcomer(office_settings_.agree.fleet, agree::kFirstDrawn + (drawn() >> 4)));
+}
+
+void KeeperNode::boot() {
+    office_.reset();
+    folder_.reset();  // before it is opened anew
+    folder_ = std::make_unique<store::Folder>(own_.folder);
+    agree::Stored stored;
+    if (folder_->found() == store::Folder::Found::whole) {
+        stored = folder_->take_stored();
+        if (stored.fleet != office_settings_.agree.fleet)
+            throw KeeperError("folder " + own_.folder + " is of another fleet than '" + own_.fleet + "'");
+        if (stored.id < agree::kFirstDrawn && stored.id != own_.office.agree.number + 1)
+            throw KeeperError("folder " + own_.folder + " is keeper " + std::to_string(stored.id - 1) +
+                              "'s, not " + std::to_string(own_.office.agree.number) + "'s");
+    } else {
+        begin_anew(folder_->found() == store::Folder::Found::spoilt
+                       ? "its folder is spoilt, " + folder_->why()
+                       : "its folder is empty");
+        stored = folder_->take_stored();
+    }
+    stored.starts = folder_->start();
+    office_ = std::make_unique<Office>(office_settings_, std::move(stored), own_clock(), drawn());
+}
+
+// ---- Connections -----------------------------------------------------------------------------------------
+
+void KeeperNode::accept() {
+    acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+        if (stopped_) return;
+        if (ec) {  // no descriptor, most often
+            accept_timer_.expires_after(std::chrono::milliseconds(50));
+            accept_timer_.async_wait([this](error_code wait) {
+                if (!wait && !stopped_) accept();
+            });
+            return;
+        }
+        accept();
+        if (sessions_.size() >= own_.connections) {
+            ++counts_.refused_connections;
+            return;
+        }
+        const std::uint64_t number = next_session_++;
+        auto channel = Channel::accepted(std::move(socket), secret_);
+        sessions_[number] = {channel, UINT32_MAX};
+        channel->start(
+            {[] {},
+             [this, number](FrameKind kind, std::string_view payload) { frame(number, kind, payload); },
+             [this, number](const std::string&) { sessions_.erase(number); }});
+    });
+}
+
+void KeeperNode::frame(std::uint64_t session, FrameKind kind, std::string_view payload) {
+    const auto at = sessions_.find(session);
+    if (at == sessions_.end()) return;
+    const bool keeper = at->second.channel->role() == Role::keeper;
+    std::string why;
+    if (kind == FrameKind::message && keeper) {
+        auto message = agree::decode_message(payload, why);
+        if (!message) {
+            ++counts_.refused_messages;
+            return;
+        }
+        event([&] { office_->heard(own_clock(), *message); });
+    } else if (kind == FrameKind::question && !keeper) {
+        const auto question = decode_question(payload, why);
+        if (!question) {
+            ++counts_.refused_messages;
+            return;
+        }
+        event([&] { office_->asked(own_clock(), session, *question); });
+    } else if (kind == FrameKind::order && !keeper) {
+        order(session, payload);
+    } else {
+        ++counts_.refused_messages;  // of a later build, or nobody's
+    }
+}
+
+std::string KeeperNode::status() const {
+    using nlohmann::json;
+    const agree::Keeper& keeper = office_->keeper();
+    json said{{"number", own_.office.agree.number},
+              {"role", name_of(keeper.role())},
+              {"leads", keeper.leads()},
+              {"term", keeper.term()},
+              {"commit", keeper.commit()},
+              {"last", keeper.last()},
+              {"stored_from", keeper.first()},
+              {"id", std::to_string(keeper.id())},
+              {"fence", office_->book().last_fence()},
+              {"tasks", office_->book().tasks().size()},
+              {"digest", std::to_string(office_->book().digest())},
+              {"applied", office_->applied()},
+              {"syncs", folder_->transactions()},
+              {"longest_sync_ms", counts_.longest_sync},
+              {"new_lives", counts_.lives},
+              {"connections", sessions_.size()},
+              {"refused_messages", counts_.refused_messages},
+              {"elections", keeper.counts().elections},
+              {"questions", office_->counts().questions},
+              {"grants", office_->counts().grants},
+              {"renewals", office_->counts().renewals},
+              {"lapses", office_->counts().lapses}};
+    said["leader"] = keeper.leader_number() ? json(*keeper.leader_number()) : json();
+    said["members"] = json::array();
+    const Millis now = own_clock();
+    for (const agree::Member& member : keeper.members()) {
+        json one{{"number", member.number}, {"voter", member.voter}, {"id", std::to_string(member.id)}};
+        const auto peer = keeper.peers().find(member.id);
+        if (keeper.leads() && peer != keeper.peers().end()) {
+            one["stored"] = peer->second.match;
+            if (peer->second.active) one["silent_ms"] = static_cast<long>(now - peer->second.heard);
+        }
+        said["members"].push_back(one);
+    }
+    return said.dump();
+}
+
+// {"do": "status"} or {"do": "remove", "keeper": N}
+void KeeperNode::order(std::uint64_t session, std::string_view payload) {
+    using nlohmann::json;
+    const json order = json::parse(payload, nullptr, false);
+    std::string report;
+    const auto refuse = [](const std::string& why) { return json{{"error", why}}.dump(); };
+    if (!order.is_object() || !order.contains("do") || !order["do"].is_string()) {
+        ++counts_.refused_messages;
+        report = refuse("no order");
+    } else if (order["do"] == "status") {
+        report = status();
+    } else if (order["do"] == "remove") {
+        if (!order.contains("keeper") || !order["keeper"].is_number_unsigned() ||
+            order["keeper"].get<std::uint64_t>() >= all_.keepers.size()) {
+            report = refuse("no such keeper");
+        } else {
+            const auto number = order["keeper"].get<std::uint32_t>();
+            bool done = false;
+            event([&] { done = office_->keeper().remove(number); });
+            if (!office_) return;
+            report = done ? json{{"done", true}}.dump()
+                          : refuse(!office_->keeper().leads()           ? "does not lead"
+                                   : office_->keeper().changing()       ? "a change of members is on its way"
+                                   : number == own_.office.agree.number ? "it leads: it can't remove itself"
+                                                                        : "it is no member, or the last one");
+        }
+    } else {
+        report = refuse("an order that this keeper does not know");
+    }
+    const auto at = sessions_.find(session);
+    if (at != sessions_.end()) at->second.channel->send(FrameKind::report, report, kClientQueue);
+}
+
+// ---- The order of what is done ---------------------------------------------------------------------------
+
+void KeeperNode::event(const std::function<void()>& what) {
+    if (stopped_ || !office_) return;
+    try {
+        what();
+        pump();
+    } catch (const std::exception& fault) {  // agree::Broken, or a disk that refuses
+        end(std::string("keeper stops: ") + fault.what());
+    }
+}
+
+void KeeperNode::pump() {
+    while (!stopped_ && office_ && office_->ready()) {
+        Office::Output output = office_->take(own_clock());
+        if (output.ready.writes()) {
+            const Millis before = own_clock();
+            try {
+                folder_->keep(output.ready);
+            } catch (const store::FolderFull& fault) {
+                log_line(std::string("keeper starts again: ") + fault.what());
+                ++counts_.restarts;
+                office_.reset();
+                timer_.expires_after(kFullDiskPause);
+                timer_.async_wait([this](error_code ec) {
+                    if (ec || stopped_) return;
+                    try {
+                        boot();
+                        pump();
+                    } catch (const std::exception& again) {
+                        end(std::string("keeper stops: ") + again.what());
+                    }
+                });
+                return;
+            }
+            counts_.longest_sync = std::max(counts_.longest_sync, own_clock() - before);
+        }
+        if (output.ready.retired) {
+            folder_->begin(
+                agree::newcomer(office_settings_.agree.fleet, agree::kFirstDrawn + (drawn() >> 4)));
+            ++counts_.lives;
+            log_line("keeper " + std::to_string(own_.office.agree.number) +
+                     " is no member any more; it asks to be taken in anew");
+            boot();
+            continue;
+        }
+        office_->stored();
+        for (const agree::Message& message : output.ready.messages) {
+            const std::string bytes = agree::encode(message);
+            for (auto& [number, line] : peers_)
+                if (message.kind == agree::Message::Kind::join || number == message.to_number)
+                    line->send(FrameKind::message, bytes);
+        }
+        for (const Office::Reply& reply : output.replies) {
+            const auto session = sessions_.find(reply.client);
+            if (session != sessions_.end())
+                session->second.channel->send(FrameKind::answer, encode(reply.answer), kClientQueue);
+        }
+    }
+    if (stopped_ || !office_) return;
+    if (const bool leads = office_->keeper().leads(); leads != std::exchange(led_, leads))
+        log_line("keeper " + std::to_string(own_.office.agree.number) +
+                 (leads ? " leads in term " : " leads no more; term ") +
+                 std::to_string(office_->keeper().term()));
+    schedule();
+}
+
+void KeeperNode::schedule() {
+    const Millis due = office_->due();
+    const Millis wait = std::clamp(due - own_clock(), 0.0, 60000.0);
+    timer_.expires_after(std::chrono::microseconds(static_cast<long>(wait * 1000) + 1));
+    timer_.async_wait([this](error_code ec) {
+        if (!ec) event([this] { office_->tick(own_clock()); });
+    });
+}
+
+}  // namespace cobaltshift::lease
--- /dev/null
+++ b/src/lease_io/line.cpp
@@ -0,0 +1,90 @@
+#include "lease_io/line.hpp"
+
+namespace cobaltshift::lease {
+
+namespace {
+constexpr double kFirstPause = 20, kLongestPause = 1000;  // milliseconds
+constexpr std::chrono::milliseconds kDialWithin{3000};
+}  // namespace
+
+Line::Line(asio::io_context& io, tcp::endpoint to, const Secret& secret, Role role, std::size_t largest,
+           std::size_t most_queued, std::uint64_t draw, Frame frame)
+    : io_(io),
+      to_(std::move(to)),
+      secret_(secret),
+      role_(role),
+      largest_(largest),
+      most_queued_(most_queued),
+      lots_(draw),
+      frame_(std::move(frame)),
+      timer_(io) {}
+
+Line::~Line() {
+    *alive_ = false;
+    drop();
+}
+
+void Line::drop() {
+    timer_.cancel();
+    error_code ignored;
+    if (dialling_) dialling_->close(ignored);
+    dialling_.reset();
+    if (channel_) channel_->close();
+    channel_.reset();
+    waiting_ = false;
+    first_.clear();
+}
+
+void Line::send(FrameKind kind, std::string_view payload) {
+    if (channel_) {
+        if (!channel_->send(kind, payload, most_queued_)) ++counts_.lost;
+        return;
+    }
+    // The newest alone is worth keeping: older ones have been asked anew.
+    if (!first_.empty()) ++counts_.lost;
+    first_kind_ = kind;
+    first_ = payload;
+    dial();
+}
+
+void Line::dial() {
+    if (dialling_ || channel_ || waiting_) return;
+    ++counts_.dialled;
+    dialling_ = std::make_shared<tcp::socket>(io_);
+    const auto socket = dialling_;
+    timer_.expires_after(kDialWithin);
+    timer_.async_wait([socket](error_code ec) {
+        error_code ignored;
+        if (!ec) socket->close(ignored);
+    });
+    socket->async_connect(to_, [this, socket, alive = alive_](error_code ec) {
+        if (!*alive || dialling_ != socket) return;
+        dialling_.reset();
+        timer_.cancel();
+        if (ec) return broken();
+        channel_ = Channel::dialled(std::move(*socket), secret_, role_, largest_);
+        if (!first_.empty()) channel_->send(first_kind_, first_, most_queued_);
+        first_.clear();
+        // The handlers end with the channel, which ends with this.
+        channel_->start({[this] { pause_ = 0; }, frame_,
+                         [this](const std::string&) {
+                             channel_.reset();
+                             broken();
+                         }});
+    });
+}
+
+void Line::broken() {
+    ++counts_.broken;
+    pause_ = std::min(kLongestPause, std::max(kFirstPause, 2 * pause_));
+    waiting_ = true;
+    timer_.expires_after(
+        std::chrono::microseconds(static_cast<long>(1000 * pause_ * (0.5 + lots_.unit() / 2))));
+    timer_.async_wait([this, alive = alive_](error_code ec) {
+        if (ec || !*alive) return;
+        waiting_ = false;
+        if (keep_ || !first_.empty()) dial();
+    });
+}
+
+}  // namespace cobaltshift::lease
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,10 +1,12 @@
-// The command line: `cobaltshift [serve]` is one real sidecar, `cobaltshift planner` advises many. Exit
-// codes: 0 stopped as asked, 1 failed to start or run, 2 bad usage, configuration or settings.
+// The command line: `cobaltshift [serve]` is one real sidecar, `cobaltshift planner` advises many, `keeper`
+// and `lease` are lease_cli.hpp's. Exit codes: 0 stopped as asked, 1 failed to start or run, 2 bad usage,
+// configuration or settings.
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <iostream>
 #include <sstream>
 
+#include "lease_cli.hpp"
 #include "net/log.hpp"
 #include "net/node.hpp"
 #include "plan_io/advised.hpp"
@@ -96,6 +98,7 @@
     sidecar->add_option("--settings", settings_file, "as above");
     CLI::App* planner = app.add_subcommand("planner", "advises the forwarders of a fleet");
     planner->add_option("--settings", settings_file, "as above; its table [planner] is needed")->required();
+    LeaseCli lease(app, settings_file);
     try {
         app.parse(argc, argv);
     } catch (const CLI::Success& said) {  // --help, --version
@@ -106,6 +109,7 @@
     }
     try {
         if (planner->parsed()) return advise_fleet(settings_file);
+        if (lease.parsed()) return lease.run();
         serve(settings_file);
     } catch (const ConfigError& error) {
         std::cerr << "cobaltshift: " << error.what() << '\n';
--- a/src/settings_file/settings_file.cpp
+++ b/src/settings_file/settings_file.cpp
@@ -7,6 +7,34 @@
 
 namespace cobaltshift {
 
+namespace {
+
+void read_keeper(Section& root, ProgramSettings& settings) {
+    const auto& all = settings.keepers.keepers;
+    lease::KeeperSettings& s = settings.keeper.emplace();
+    agree::Settings& agreement = s.office.agree;
+    Section keeper = root.section("keeper");
+    if (all.size() % 2 == 0) keeper.wrong("number", "needs an odd count of keepers.addresses, 3 or 5 best");
+    keeper.need("number");
+    keeper.count("number", agreement.number, 0, static_cast<double>(all.size() - 1));
+    s.listen = all[agreement.number];
+    keeper.endpoint("listen", s.listen);
+    keeper.need("fleet"), keeper.text("fleet", s.fleet);
+    if (s.fleet.empty()) keeper.wrong("fleet", "is empty");
+    keeper.need("folder"), keeper.text("folder", s.folder);
+    keeper.number("heartbeat_ms", agreement.heartbeat, 10, 10000);
+    keeper.number("election_ms", agreement.election, 50, 60000);
+    if (agreement.election < 4 * agreement.heartbeat)
+        keeper.wrong("election_ms", "is under four times heartbeat_ms");
+    keeper.number("drift", s.office.drift, 0, 0.2);
+    keeper.number("waiter_silence_ms", s.office.waiter_silence, 1000, 600000);
+    keeper.count("compact_after", s.office.compact_after, 16, 1000000);
+    keeper.count("connections", s.connections, 16, 1000000);
+    keeper.done();
+}
+
+}  // namespace
+
 ProgramSettings read_settings(const std::string& text, const std::string& file) {
     ProgramSettings settings;
     const toml::table table = parsed_toml(text, file);
@@ -49,6 +77,12 @@
         planner.text("secret_file", s.secret_file);
         planner.done();
     }
+    Section keepers = root.section("keepers");
+    keepers.endpoints("addresses", settings.keepers.keepers, agree::kMaxMembers);
+    keepers.number("margin_ms", settings.keepers.margin, 1, 60000);
+    keepers.text("secret_file", settings.keepers.secret_file);
+    keepers.done();
+    if (root.has("keeper")) read_keeper(root, settings);
     root.done();
     return settings;
 }
--- a/src/settings_file/settings_file.hpp
+++ b/src/settings_file/settings_file.hpp
@@ -2,8 +2,10 @@
 // names file, line and key. Without a file all is as the defaults here say, and all optional parts are off.
 #pragma once
 
+#include <optional>
 #include <string>
 
+#include "lease_io/settings.hpp"
 #include "net/shares.hpp"
 #include "plan_io/settings.hpp"
 #include "settings_file/error.hpp"
@@ -14,6 +16,8 @@
     Shares shares;
     plan::ClientSettings plan;
     std::optional<plan::ServerSettings> planner;  // given: this file can start a planner
+    lease::KeepersSettings keepers;               // none: no rights can be asked for
+    std::optional<lease::KeeperSettings> keeper;  // given: this file can start a keeper
 };
 
 // Throws SettingsError: the file can't be read, is no TOML, or has a key unknown, of the wrong type or out of
--- /dev/null
+++ b/tests/lease_io_test.cpp
@@ -0,0 +1,331 @@
+// Keepers' folders on a real disk, and keepers and rights over loopback sockets.
+#include <gtest/gtest.h>
+#include <sqlite3.h>
+#include <sys/resource.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include "agree/codec.hpp"
+#include "lease_io/ask.hpp"
+#include "lease_io/keeper_node.hpp"
+#include "lease_io/rights.hpp"
+#include "store_io/folder.hpp"
+
+namespace cobaltshift {
+namespace {
+
+using lease::asio::io_context;
+using store::Folder;
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+struct Place {
+    Place() {
+        std::string pattern = (std::filesystem::temp_directory_path() / "cobaltshift-test-XXXXXX").string();
+        path = ::mkdtemp(pattern.data());
+    }
+    ~Place() {
+        std::error_code ignored;
+        std::filesystem::remove_all(path, ignored);
+    }
+    std::string write(const std::string& name, const std::string& text) const {
+        std::ofstream(path + "/" + name, std::ios::binary) << text;
+        return path + "/" + name;
+    }
+    std::string path;
+};
+
+agree::Entry entry(agree::Term term, const std::string& data) {
+    return {term, agree::Entry::Kind::data, data};
+}
+
+agree::Ready entries_from(agree::Index from, std::vector<agree::Entry> entries) {
+    agree::Ready ready;
+    ready.from = from;
+    ready.entries = std::move(entries);
+    return ready;
+}
+
+void sql(const Place& place, const std::string& text) {
+    sqlite3* db = nullptr;
+    ASSERT_EQ(sqlite3_open((place.path + "/keeper.db").c_str(), &db), SQLITE_OK);
+    char* why = nullptr;
+    EXPECT_EQ(sqlite3_exec(db, text.c_str(), nullptr, nullptr, &why), SQLITE_OK) << text << ": " << why;
+    sqlite3_close(db);
+}
+
+// A folder with a vote, three entries and the fourth replaced.
+void fill(const Place& place) {
+    Folder folder(place.path);
+    folder.begin(agree::founded(7, 1, 3));
+    EXPECT_EQ(folder.start(), 1U);
+    agree::Ready first = entries_from(1, {entry(1, "a"), entry(1, "b"), entry(1, "c"), entry(1, "d")});
+    first.vote = agree::Stored{};
+    first.vote->term = 2, first.vote->voted = 3;
+    folder.keep(first);
+    folder.keep(entries_from(4, {entry(2, "e")}));
+}
+
+TEST(Folder, HoldsWhatWasKeptOverRunsAndLives) {
+    Place place;
+    fill(place);
+    {
+        Folder folder(place.path);
+        ASSERT_EQ(folder.found(), Folder::Found::whole) << folder.why();
+        agree::Stored stored = folder.take_stored();
+        EXPECT_EQ(stored.fleet, 7U);
+        EXPECT_EQ(stored.id, 2U);
+        EXPECT_EQ(stored.starts, 1U);
+        EXPECT_EQ(stored.term, 2U);
+        EXPECT_EQ(stored.voted, 3U);
+        EXPECT_EQ(stored.snapshot, agree::founded(7, 1, 3).snapshot);
+        EXPECT_EQ(stored.entries, (std::vector{entry(1, "a"), entry(1, "b"), entry(1, "c"), entry(2, "e")}));
+        EXPECT_EQ(folder.start(), 2U);
+        agree::Ready snapshot;
+        snapshot.snapshot = agree::Snapshot{3, 1, stored.snapshot.members, "book"};
+        snapshot.entries = {entry(2, "e"), entry(2, "f")};
+        folder.keep(snapshot);
+        folder.keep(entries_from(5, {}));  // the tail goes and nothing follows
+    }
+    {
+        Folder folder(place.path);
+        const agree::Stored stored = folder.take_stored();
+        EXPECT_EQ(stored.starts, 2U);
+        EXPECT_EQ(stored.term, 2U);
+        EXPECT_EQ(stored.snapshot.data, "book");
+        EXPECT_EQ(stored.entries, std::vector{entry(2, "e")});
+        folder.begin(agree::newcomer(7, agree::kFirstDrawn + 5));
+        EXPECT_TRUE(std::filesystem::exists(place.path + "/former.db"));
+    }
+    Folder folder(place.path);
+    EXPECT_EQ(folder.take_stored().id, agree::kFirstDrawn + 5);
+}
+
+TEST(Folder, IsHeldByOneProcess) {
+    Place place;
+    Folder first(place.path);
+    EXPECT_THROW(Folder second(place.path), store::FolderError);
+    EXPECT_THROW(Folder none(place.path + "/none"), store::FolderError);
+}
+
+TEST(Folder, ASpoiltOneSaysSo) {
+    const std::pair<const char*, const char*> table[] = {
+        {"UPDATE state SET bytes = zeroblob(12) WHERE place = 3", "row 3 is not as it was written"},
+        {"UPDATE state SET bytes = (SELECT bytes FROM state WHERE place = 1) WHERE place = 3", "row 3"},
+        {"DELETE FROM state WHERE place = 3", "missing"},
+        {"DELETE FROM entries WHERE place = 2", "entry 3 does not follow"},
+        {"UPDATE entries SET place = 9 WHERE place = 4", "row 9"},
+        {"UPDATE entries SET bytes = bytes || x'00' WHERE place = 1", "row 1"},
+        {"DELETE FROM state", "missing"},
+    };
+    for (const auto& [change, why] : table) {
+        Place place;
+        fill(place);
+        sql(place, change);
+        Folder folder(place.path);
+        EXPECT_EQ(folder.found(), Folder::Found::spoilt) << change;
+        EXPECT_NE(folder.why().find(why), std::string::npos) << change << " -> " << folder.why();
+    }
+    {
+        Place place;
+        place.write("keeper.db", std::string(9000, 'x'));
+        Folder folder(place.path);
+        EXPECT_EQ(folder.found(), Folder::Found::spoilt);
+        folder.begin(agree::newcomer(7, agree::kFirstDrawn));  // and is usable again as another's
+        EXPECT_EQ(folder.start(), 1U);
+    }
+    Place place;
+    fill(place);
+    sql(place, "PRAGMA user_version = 2");
+    EXPECT_THROW(Folder folder(place.path), store::FolderError);  // a later build's: nothing is set aside
+}
+
+TEST(Folder, WhatADiskRefusesIsNotKept) {
+    Place place;
+    fill(place);
+    {
+        Folder folder(place.path);
+        rlimit before{};
+        ::getrlimit(RLIMIT_FSIZE, &before);
+        const auto former = std::signal(SIGXFSZ, SIG_IGN);
+        const rlimit small{16384, before.rlim_max};
+        ::setrlimit(RLIMIT_FSIZE, &small);
+        EXPECT_THROW(folder.keep(entries_from(5, {entry(2, std::string(60000, 'z'))})), store::FolderError);
+        ::setrlimit(RLIMIT_FSIZE, &before);
+        std::signal(SIGXFSZ, former);
+    }
+    Folder folder(place.path);
+    ASSERT_EQ(folder.found(), Folder::Found::whole) << folder.why();
+    EXPECT_EQ(folder.take_stored().entries.size(), 4U);
+}
+
+// ---- Over sockets ----------------------------------------------------------------------------------------
+
+struct Keepers {
+    explicit Keepers(std::size_t count = 3) : nodes(count), places(count) {
+        all.secret_file = secrets.write("secret", "a secret of enough bytes");
+        all.margin = 50;
+        for (std::size_t k = 0; k < count; ++k) {
+            tcp::acceptor probe(io, {boost::asio::ip::make_address("127.0.0.4"), 0});
+            all.keepers.push_back(probe.local_endpoint());
+        }
+        for (std::size_t k = 0; k < count; ++k) {
+            lease::found(settings(k), count);
+            start(k);
+        }
+    }
+    lease::KeeperSettings settings(std::size_t k) const {
+        lease::KeeperSettings s;
+        s.listen = all.keepers[k];
+        s.fleet = "test";
+        s.folder = places[k].path;
+        s.office.agree.number = static_cast<std::uint32_t>(k);
+        s.office.agree.heartbeat = 20, s.office.agree.election = 150;
+        return s;
+    }
+    void start(std::size_t k) { nodes[k] = std::make_unique<lease::KeeperNode>(io, settings(k), all); }
+    // Runs the loop until `what` holds, within a guard.
+    bool until(const std::function<bool()>& what) {
+        const auto guard = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!what()) {
+            if (std::chrono::steady_clock::now() > guard) return false;
+            io.restart();
+            io.run_one_for(std::chrono::milliseconds(20));
+        }
+        return true;
+    }
+    std::size_t leader() const {
+        for (std::size_t k = 0; k < nodes.size(); ++k)
+            if (nodes[k] && nodes[k]->leads()) return k;
+        return nodes.size();
+    }
+
+    io_context io{1};
+    lease::KeepersSettings all;
+    std::vector<std::unique_ptr<lease::KeeperNode>> nodes;
+    std::vector<Place> places;
+    Place secrets;
+};
+
+TEST(KeeperNode, ARightIsGainedRenewedOverALeadersEndAndHandedOn) {
+    Keepers keepers;
+    lease::Rights first(keepers.io, keepers.all, "first"), second(keepers.io, keepers.all, "second");
+    first.want("job", 1000, true);
+    ASSERT_TRUE(keepers.until([&] { return first.right("job").has_value(); }));
+    second.want("job", 1000, true);
+    ASSERT_TRUE(keepers.until([&] { return second.state("job") == lease::Holder::State::waiting; }));
+    const auto fence = first.right("job")->fence;
+    // The leader goes, folder and all; the others go on, and the right is not lost.
+    const std::size_t gone = keepers.leader();
+    ASSERT_LT(gone, 3U);
+    keepers.nodes[gone].reset();
+    std::filesystem::remove(keepers.places[gone].path + "/keeper.db");
+    std::filesystem::remove(keepers.places[gone].path + "/keeper.db-wal");
+    const auto renewed = first.counts().renewed;
+    ASSERT_TRUE(keepers.until([&] { return first.counts().renewed > renewed + 1; }));
+    EXPECT_EQ(first.right("job")->fence, fence);
+    EXPECT_FALSE(second.right("job"));
+    // Back with an empty folder: taken in as another.
+    keepers.start(gone);
+    ASSERT_TRUE(keepers.until([&] { return keepers.nodes[gone]->votes(); }));
+    first.give_up("job", "second");
+    ASSERT_TRUE(keepers.until([&] { return second.right("job").has_value(); }));
+    EXPECT_GT(second.right("job")->fence, fence);
+    EXPECT_FALSE(first.right("job"));
+}
+
+TEST(KeeperNode, WithoutAMajorityRightsRunOutAndFencesGrowAfterwards) {
+    Keepers keepers;
+    lease::Rights holder(keepers.io, keepers.all, "holder");
+    holder.want("job", 500, true);
+    ASSERT_TRUE(keepers.until([&] { return holder.right("job").has_value(); }));
+    const auto fence = holder.right("job")->fence;
+    const std::size_t one = keepers.leader(), two = (one + 1) % 3;
+    keepers.nodes[one].reset(), keepers.nodes[two].reset();
+    ASSERT_TRUE(keepers.until([&] { return holder.counts().ended > 0; }));
+    EXPECT_FALSE(holder.right("job"));
+    keepers.start(one), keepers.start(two);
+    ASSERT_TRUE(keepers.until([&] { return holder.right("job").has_value(); }));
+    EXPECT_GE(holder.right("job")->fence, fence);
+}
+
+// Raw bytes to a keeper; whether it closed the connection, and never before it has heard something wrong.
+bool closed_after(Keepers& keepers, const std::string& bytes) {
+    tcp::socket socket(keepers.io);
+    socket.connect(keepers.all.keepers[0]);
+    bool closed = false;
+    std::array<char, 4096> chunk{};
+    std::function<void()> read = [&] {
+        socket.async_read_some(boost::asio::buffer(chunk), [&](error_code ec, std::size_t) {
+            if (ec == boost::asio::error::operation_aborted) return;
+            ec ? void(closed = true) : read();
+        });
+    };
+    read();
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+    const bool all = keepers.until([&] { return closed; });
+    error_code ignored;
+    socket.close(ignored);
+    keepers.io.restart();
+    keepers.io.poll();
+    return all;
+}
+
+TEST(KeeperNode, HostileConnectionsEndAndNothingElseDoes) {
+    Keepers keepers;
+    const std::string nonce(16, 'n'), keeper = std::string("CSL\x01\x01", 5) + nonce,
+                                      client = std::string("CSL\x01\x02", 5) + nonce;
+    const auto frame = [](std::size_t said, const std::string& bytes) {
+        std::string head;
+        for (int i = 0; i < 4; ++i) head.push_back(static_cast<char>(said >> 8 * i));
+        return head + bytes;
+    };
+    const std::string code(64, '0');
+    const std::pair<const char*, std::string> table[] = {
+        {"another protocol", "GET / HTTP/1.1\r\n\r\n"},
+        {"another protocol, byte by byte equal at first", "CSX"},
+        {"a newer format", std::string("CSL\x02\x01", 5) + nonce},
+        {"no role", std::string("CSL\x01\x09", 5) + nonce},
+        {"a wrong proof", keeper + frame(65, "\x01" + code)},
+        {"a message before its proof", keeper + frame(65, "\x04" + code)},
+        {"a frame of no bytes", client + frame(0, "")},
+        {"a frame shorter than its code", client + frame(10, "\x01" + std::string(9, '0'))},
+        {"a large frame before the proof", keeper + frame(1 << 20, "\x04")},
+        {"a frame of 4 GB", keeper + frame(0xffffffff, "\x04")},
+        {"a recorded proof of another connection", client + frame(65, "\x01" + std::string(64, 'a'))},
+    };
+    for (const auto& [what, bytes] : table) EXPECT_TRUE(closed_after(keepers, bytes)) << what;
+    lease::Rights holder(keepers.io, keepers.all, "holder");
+    holder.want("job", 500, true);
+    EXPECT_TRUE(keepers.until([&] { return holder.right("job").has_value(); }));
+    // Whoever has another secret gets nothing.
+    lease::KeepersSettings other = keepers.all;
+    other.secret_file = keepers.secrets.write("other", "another secret of enough bytes");
+    lease::Rights stranger(keepers.io, other, "stranger");
+    stranger.want("other job", 500, true);
+    EXPECT_TRUE(keepers.until([&] { return stranger.counts().unanswered >= 3; }));
+    EXPECT_FALSE(stranger.right("other job"));
+}
+
+TEST(KeeperNode, AFolderThatIsNotItsOwnIsRefused) {
+    Place place;
+    lease::KeepersSettings all;
+    all.keepers = {{boost::asio::ip::make_address("127.0.0.4"), 0}};
+    lease::KeeperSettings own;
+    own.listen = all.keepers[0];
+    own.fleet = "one";
+    own.folder = place.path;
+    lease::found(own, 1);
+    EXPECT_THROW(lease::found(own, 1), lease::KeeperError);
+    io_context io;
+    lease::KeeperSettings other = own;
+    other.fleet = "two";
+    EXPECT_THROW(lease::KeeperNode(io, other, all), lease::KeeperError);
+    other = own, other.office.agree.number = 1;
+    EXPECT_THROW(lease::KeeperNode(io, other, all), lease::KeeperError);
+}
+
+}  // namespace
+}  // namespace cobaltshift
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -19,6 +19,29 @@
     return "none";
 }
 
+TEST(SettingsFile, KeepersThatMakeNoSense) {
+    const std::string three = "[keepers]\naddresses = [\"127.0.0.1:1\", \"127.0.0.1:2\", \"127.0.0.1:3\"]\n";
+    const std::string good = "[keeper]\nnumber = 0\nfleet = \"f\"\nfolder = \"d\"\n";
+    const std::pair<std::string, const char*> table[] = {
+        {three + good, "none"},
+        {three, "none"},
+        {good, "odd count of keepers.addresses"},
+        {"[keepers]\naddresses = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\n" + good, "odd count"},
+        {"[keepers]\naddresses = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n", "names an address twice"},
+        {"[keepers]\naddresses = [\"keeper:1\"]\n", "x.toml:2: keepers.addresses is not address:port"},
+        {three + "margin_ms = 0\n", "x.toml:3: keepers.margin_ms is not between"},
+        {three + "[keeper]\nnumber = 3\n", "x.toml:4: keeper.number is not between 0 and 2"},
+        {three + "[keeper]\nfleet = \"f\"\nfolder = \"d\"\n", "keeper.number is missing"},
+        {three + "[keeper]\nnumber = 0\nfleet = \"f\"\n", "keeper.folder is missing"},
+        {three + "[keeper]\nnumber = 0\nfleet = \"\"\n", "x.toml:5: keeper.fleet is empty"},
+        {three + good + "heartbeat_ms = 300\n", "keeper.election_ms is under four times heartbeat_ms"},
+        {three + good + "drift = 0.5\n", "x.toml:7: keeper.drift is not between 0 and 0.2"},
+        {three + good + "lease = 3\n", "x.toml:7: keeper.lease is not known"},
+    };
+    for (const auto& [text, said] : table)
+        EXPECT_NE(complaint(text).find(said), std::string::npos) << text << " -> " << complaint(text);
+}
+
 TEST(SettingsFile, ComplaintsNameFileLineAndKey) {
     const std::pair<const char*, const char*> table[] = {
         {"[shares]\nclients_hold = 0.5\n", "none"},
@@ -54,6 +77,16 @@
     EXPECT_NEAR(example.shares.client_descriptors, standard.shares.client_descriptors, 1e-9);
     EXPECT_NEAR(example.shares.clients_hold, standard.shares.clients_hold, 1e-9);
     EXPECT_NEAR(example.shares.body_memory, standard.shares.body_memory, 1e-9);
+    const lease::KeeperSettings keeper;
+    ASSERT_TRUE(example.keeper);
+    EXPECT_EQ(example.keepers.margin, standard.keepers.margin);
+    EXPECT_EQ(example.keeper->office.agree.heartbeat, keeper.office.agree.heartbeat);
+    EXPECT_EQ(example.keeper->office.agree.election, keeper.office.agree.election);
+    EXPECT_EQ(example.keeper->office.drift, keeper.office.drift);
+    EXPECT_EQ(example.keeper->office.waiter_silence, keeper.office.waiter_silence);
+    EXPECT_EQ(example.keeper->office.compact_after, keeper.office.compact_after);
+    EXPECT_EQ(example.keeper->connections, keeper.connections);
+    EXPECT_EQ(example.keeper->listen, example.keepers.keepers[0]);
     load_settings(COBALTSHIFT_DEPLOY "/platform.toml");
 }
 
