Leases on processes: keepers, machines and links fail at random, no two act at once

The proof in tests that two holders never act at once was owed on processes.

src/lab/links: a relay on every directed way; bytes held back one way or both, delay, reset, reset within a frame, frames lost, doubled, swapped. lease_fleet: five keepers and twelve machines ('lease run' with a command that acts), killed, stopped, their folders emptied or spoilt. 'cobaltshift-lab leases' draws twenty kinds of trouble and fails if one struck too rarely. The target's own record is held against its gate; a stale act counts as explained only within a second of its machine's going on after a stop as a whole.

--- a/src/lab/child.cpp
+++ b/src/lab/child.cpp
@@ -15,6 +15,10 @@
 
 namespace cobaltshift::lab {
 
+namespace {
+constexpr std::size_t kLastWords = 2000;
+}
+
 Folder::Folder() {
     std::string pattern = (std::filesystem::temp_directory_path() / "cobaltshift-lab-XXXXXX").string();
     if (!::mkdtemp(pattern.data())) throw std::runtime_error("no folder for temporary files");
@@ -76,6 +80,8 @@
              log->text.erase(0, end + 1)) {
             static const std::string says = "listens on ";
             const std::string line = log->text.substr(0, end);
+            log->last += line + '\n';
+            if (log->last.size() > kLastWords) log->last.erase(0, log->last.size() - kLastWords);
             const auto at = line.find(says);
             if (at == std::string::npos || !log->listening) continue;
             const std::string address = line.substr(at + says.size());
@@ -101,6 +107,13 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
+std::optional<int> Child::ended() {
+    int status = 0;
+    if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_) return {};
+    pid_ = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
 double Child::resident_mb() const {
     std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
     double all = 0, resident = 0;
--- a/src/lab/child.hpp
+++ b/src/lab/child.hpp
@@ -43,6 +43,9 @@
     void signal(int number) const;
     // Waits for its end; its exit code, or 128 and the signal that ended it.
     int wait();
+    // Its exit code as of wait(), where it has ended by now.
+    std::optional<int> ended();
+    std::string last_words() const { return log_->last; }  // of its log
     pid_t pid() const { return pid_; }
     // Bytes resident and CPU seconds so far, as the system tells; 0 where it does not.
     double resident_mb() const;
@@ -52,7 +55,7 @@
     struct Log {
         explicit Log(asio::io_context& io) : pipe(io) {}
         asio::posix::stream_descriptor pipe;
-        std::string text;
+        std::string text, last;
         std::array<char, 1024> chunk;
         std::function<void(tcp::endpoint)> listening;
     };
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -10,6 +10,7 @@
 #include "lab/cost.hpp"
 #include "lab/demo.hpp"
 #include "lab/experiment.hpp"
+#include "lab/lease_fleet.hpp"
 #include "lab/load_command.hpp"
 #include "lab/report.hpp"
 #include "lab/scenario.hpp"
@@ -138,6 +139,12 @@
     CLI::App* scripted =
         app.add_subcommand("cost-script", "requests one after another in one process, for callgrind");
     scripted->add_option("REQUESTS", requests)->check(CLI::Range(1, 10000000));
+    Acting acting;
+    CLI::App* acted = app.add_subcommand("act", "acts on a target under the right in its environment");
+    acted->add_option("TARGET", acting.target, "address:port in numbers, for datagrams")->required();
+    acted->add_option("--machine", acting.machine);
+    acted->add_option("--every", acting.every, "ms")->check(CLI::Range(0.1, 60000.0));
+    acted->add_option("--for", acting.length, "ms; 0: until it is ended")->check(CLI::Range(0.0, 1e9));
     for (const Scenario& scenario : scenarios()) options(app.add_subcommand(scenario.name, scenario.about));
     try {
         app.parse(argc, argv);
@@ -165,6 +172,7 @@
         }
         if (loaded->parsed()) return load.run([&](const Result& result) { return measured(result, json); });
         if (recorded->parsed()) return digests(folder);
+        if (acted->parsed()) return acting.run();
         if (scripted->parsed()) return cost_script(requests);
         if (compared->parsed()) return compare(before, after, std::cout, std::cerr);
         if (replayed->parsed()) return replay(again);
--- a/src/lab/scenarios.cpp
+++ b/src/lab/scenarios.cpp
@@ -1,6 +1,7 @@
 // The table of scenarios. Each is a command of cobaltshift-lab under its name.
 #include "lab/cost.hpp"
 #include "lab/lease_world.hpp"
+#include "lab/leases.hpp"
 #include "lab/planners.hpp"
 #include "lab/scenario.hpp"
 #include "lab/sim_world.hpp"
@@ -12,6 +13,8 @@
         {"plan-world", "500 (quick) or 20,000 days of faults in virtual time: no rule is broken", plan_world},
         {"lease-world", "2,000 (quick) or 20,000 days of keepers and holders: no two ever act at once",
          lease_world},
+        {"leases", "keepers and holders as processes, links and machines failing: no two ever act at once",
+         leases},
         {"planners", "real forwarders and planners, these killed and restarted under load", planners},
         {"plan-path", "from a server's first failure to the first request spared, part by part", plan_path},
         {"cost", "what a request costs one forwarder: straight against through, in one run", cost},
