Rig of leases: machines cut off, ways slow by themselves, runs that go on until enough struck

Now only a machine stopped as a whole is excused; machines are cut off from all keepers while they act, at times after slow answers; each way has its own delay; a quick run goes on until ten stale acts were refused and each trouble struck.

--- a/src/lab/lease_fleet.cpp
+++ b/src/lab/lease_fleet.cpp
@@ -323,7 +323,7 @@
     }
     if (stale) {
         ++record_.refused;
-        if (now - machines_[machine].resumed <= kExplained || machines_[machine].stopped) return;
+        if (now - machines_[machine].resumed <= kExplained) return;
         if (now - stalled_at_ <= kExplained || now > look_due_ + kStall) {
             ++record_.stalled;
         } else {
--- a/src/lab/leases.cpp
+++ b/src/lab/leases.cpp
@@ -13,7 +13,7 @@
 class Troubles {
 public:
     Troubles(asio::io_context& io, LeaseFleet& fleet, std::uint64_t seed, Millis length)
-        : io_(io), fleet_(fleet), lots_(seed, "troubles"), end_(length), timer_(io), stops_timer_(io) {
+        : io_(io), fleet_(fleet), lots_(seed, "troubles"), end_(length), timer_(io), holders_timer_(io) {
         table_ = {
             {"leader killed", [this] { return kill(fleet_.leader()); }},
             {"keeper killed", [this] { return kill(any_keeper()); }},
@@ -33,14 +33,18 @@
             {"answers lost", [this] { return answers_lost(); }},
             {"machine stopped", [this] { return stop_acting(true); }},
             {"runner alone stopped", [this] { return stop_acting(false); }},
+            {"machine cut off", [this] { return cut_acting(); }},
             {"machine killed", [this] { return kill_machine(); }},
             {"majority of keepers down", [this] { return majority_down(); }},
         };
     }
 
-    void start() { next(), stops(); }
-    void over() { end_ = 0, timer_.cancel(), stops_timer_.cancel(); }
-    const std::map<std::string, std::size_t>& struck() const { return struck_; }
+    void start() { next(), at_holders(); }
+    void over() { end_ = 0, timer_.cancel(), holders_timer_.cancel(); }
+    double count(const std::string& name) const {
+        const auto at = struck_.find(name);
+        return at == struck_.end() ? 0 : static_cast<double>(at->second);
+    }
     std::vector<std::string> names() const {
         std::vector<std::string> all;
         for (const auto& [name, what] : table_) all.push_back(name);
@@ -52,7 +56,7 @@
 
     // One of those that have struck least and can strike now: a short run is to have met all.
     void next() {
-        timer_.expires_after(std::chrono::milliseconds(static_cast<long>(lots_.between(400, 900))));
+        timer_.expires_after(std::chrono::milliseconds(static_cast<long>(lots_.between(600, 1200))));
         timer_.async_wait([this](error_code ec) {
             if (ec || end_ == 0) return;
             std::vector<std::pair<std::size_t, std::uint64_t>> order;
@@ -69,14 +73,20 @@
             next();
         });
     }
-    // What proves most comes more often: a machine stopped past its right that goes on in the middle of its
-    // act.
-    void stops() {
-        stops_timer_.expires_after(std::chrono::milliseconds(static_cast<long>(lots_.between(500, 1100))));
-        stops_timer_.async_wait([this](error_code ec) {
+    // What proves most comes more often: a machine that can't renew while its command acts on, and one
+    // stopped past its right that goes on in the middle of its act.
+    void at_holders() {
+        holders_timer_.expires_after(std::chrono::milliseconds(static_cast<long>(lots_.between(400, 900))));
+        holders_timer_.async_wait([this](error_code ec) {
             if (ec || end_ == 0) return;
-            if (stop_acting(true)) ++struck_["machine stopped"];
-            stops();
+            const double lot = lots_.unit();
+            if (lot < 0.5)
+                struck_["machine stopped"] += stop_acting(true);
+            else if (lot < 0.65)
+                struck_["runner alone stopped"] += stop_acting(false);
+            else
+                struck_["machine cut off"] += cut_acting();
+            at_holders();
         });
     }
     void later(Millis after, std::function<void()> what) {
@@ -105,7 +115,7 @@
     bool stop(std::optional<std::size_t> k) {
         if (!k || !fleet_.keeper_runs(*k)) return false;
         fleet_.stop_keeper(*k, true);
-        later(lots_.between(300, 1500), [this, k = *k] { fleet_.stop_keeper(k, false); });
+        later(lots_.between(300, 1200), [this, k = *k] { fleet_.stop_keeper(k, false); });
         return true;
     }
     bool cut(std::optional<std::size_t> k, bool in, bool out, bool keepers_only) {
@@ -127,7 +137,7 @@
                                });
         };
         hold(true);
-        later(lots_.between(300, 1500), [hold] { hold(false); });
+        later(lots_.between(300, 1200), [hold] { hold(false); });
         return true;
     }
     bool split() {
@@ -145,7 +155,7 @@
                 [&](LinkFaults& f) { f.hold_there = f.hold_back = on; });
         };
         hold(true);
-        later(lots_.between(300, 1500), [hold] { hold(false); });
+        later(lots_.between(300, 1200), [hold] { hold(false); });
         return true;
     }
     bool lossy() {
@@ -154,17 +164,41 @@
             f.lost = lots_.between(0, 0.4), f.doubled = lots_.between(0, 0.4),
             f.swapped = lots_.between(0, 0.4);
         });
-        later(lots_.between(500, 1500), [this, all] {
+        later(lots_.between(500, 1200), [this, all] {
             fleet_.links().set(all, [](LinkFaults& f) { f.lost = f.doubled = f.swapped = 0; });
         });
         return true;
     }
+    // Each way by itself: a right counted from its answer would run long where that alone is slow.
     bool slow() {
         const auto all = [](const std::string&) { return true; };
-        fleet_.links().set(all,
-                           [&](LinkFaults& f) { f.delay = lots_.chance(0.5) ? lots_.between(5, 150) : 0; });
-        later(lots_.between(500, 1500),
-              [this, all] { fleet_.links().set(all, [](LinkFaults& f) { f.delay = 0; }); });
+        fleet_.links().set(all, [&](LinkFaults& f) {
+            f.delay_there = lots_.chance(0.4) ? lots_.between(5, 100) : 0;
+            f.delay_back = lots_.chance(0.4) ? lots_.between(5, 350) : 0;
+        });
+        later(lots_.between(500, 1200), [this, all] {
+            fleet_.links().set(all, [](LinkFaults& f) { f.delay_there = f.delay_back = 0; });
+        });
+        return true;
+    }
+    // From all keepers, so that its right runs out while it acts; sometimes after its answers have been slow.
+    bool cut_acting() {
+        const auto m = fleet_.acting(lots_.below(fleet_.options().tasks));
+        if (!m || !fleet_.leader()) return false;
+        const auto its = [name = "machine-" + std::to_string(*m) + ">"](const std::string& link) {
+            return link.starts_with(name);
+        };
+        const auto cut = [this, its] {
+            fleet_.links().set(its, [](LinkFaults& f) { f.hold_there = f.hold_back = true; });
+            later(lots_.between(1, 2.5) * fleet_.options().length,
+                  [this, its] { fleet_.links().set(its, [](LinkFaults& f) { f = {}; }); });
+        };
+        if (lots_.chance(0.5)) {
+            fleet_.links().set(its, [&](LinkFaults& f) { f.delay_back = 350; });
+            later(lots_.between(400, 900), cut);
+        } else {
+            cut();
+        }
         return true;
     }
     bool reset() {
@@ -177,11 +211,12 @@
     bool answers_lost() {
         const auto holders = [](const std::string& link) { return link.starts_with("machine"); };
         fleet_.links().set(holders, [&](LinkFaults& f) { f.hold_back = lots_.chance(0.7); });
-        later(lots_.between(300, 1500),
+        later(lots_.between(300, 1200),
               [this, holders] { fleet_.links().set(holders, [](LinkFaults& f) { f.hold_back = false; }); });
         return true;
     }
     bool stop_acting(bool all) {
+        if (!fleet_.leader()) return false;  // nobody would succeed it: nothing would be tried
         const std::size_t first = lots_.below(fleet_.options().tasks);
         for (std::size_t t = 0; t < fleet_.options().tasks; ++t)
             if (const auto m = fleet_.acting((first + t) % fleet_.options().tasks)) {
@@ -212,7 +247,7 @@
     LeaseFleet& fleet_;
     sim::Stream lots_;
     Millis end_;
-    asio::steady_timer timer_, stops_timer_;
+    asio::steady_timer timer_, holders_timer_;
     std::vector<std::pair<std::string, Fault>> table_;
     std::map<std::string, std::size_t> struck_;
     std::list<asio::steady_timer> timers_;
@@ -221,7 +256,9 @@
 }  // namespace
 
 Result leases(const Run& run) {
-    const Millis length = run.quick ? 30000 : 300000;
+    // Quick: until enough has struck to prove something, but not before 22 s and not beyond 34 s.
+    const Millis length = run.quick ? 22000 : 300000, most = run.quick ? 34000 : 300000;
+    const double stale_least = run.quick ? 10 : 50, struck_least = run.quick ? 1 : 5;
     asio::io_context io(1);
     const Clock clock;
     LeaseFleet::Options options;
@@ -237,7 +274,6 @@
         });
     };
     Millis healed = 0, led_after = -1, held_after = -1;
-    std::uint64_t holders_before = 0;
     std::set<std::string> digests;
     std::size_t heard = 0, voters = 0;
     // After the troubles: by events, as far as there are any, and within a guard.
@@ -261,19 +297,24 @@
         if ((held_after >= 0 && equal) || now > healed + 20000) return io.stop();
         at(50, settled);
     };
+    const Millis began = clock.now() + 2000;
     fleet.start();
     at(2000, [&] { troubles.start(); });
-    at(2000 + length, [&] {
+    const std::function<void()> enough = [&] {
+        bool all = static_cast<double>(fleet.record().refused) >= stale_least;
+        for (const std::string& name : troubles.names()) all = all && troubles.count(name) >= struck_least;
+        if (!all && clock.now() < began + most) return at(200, enough);
         troubles.over();
-        holders_before = fleet.record().holders;
-    });
-    // All that was begun has ended by then; what is left of it is healed.
-    at(2000 + length + 3000, [&] {
-        fleet.links().heal();
-        for (std::size_t k = 0; k < options.keepers; ++k) fleet.stop_keeper(k, false), fleet.start_keeper(k);
-        healed = clock.now();
-        settled();
-    });
+        // All that was begun has ended by then; what is left of it is healed.
+        at(3000, [&] {
+            fleet.links().heal();
+            for (std::size_t k = 0; k < options.keepers; ++k)
+                fleet.stop_keeper(k, false), fleet.start_keeper(k);
+            healed = clock.now();
+            settled();
+        });
+    };
+    at(2000 + length, enough);
     io.run();
     // Who is not as all others at the end is shown with what it said.
     std::vector<std::string> odd;
@@ -292,8 +333,6 @@
                 std::to_string(links.frames), std::to_string(links.lost), std::to_string(links.doubled),
                 std::to_string(links.swapped), std::to_string(links.resets),
                 shown(record.longest_gap / 1000, 1)});
-    for (const auto& [name, count] : troubles.struck())
-        result.note("struck: " + name + ": " + std::to_string(count));
     for (const auto& [code, count] : fleet.ends())
         result.note("`lease run` ended with " + std::to_string(code) + ": " + std::to_string(count));
     for (const std::string& what : odd) result.note(what);
@@ -312,12 +351,8 @@
                     static_cast<double>(options.keepers));
     result.at_most("books that keepers hold at the end", static_cast<double>(digests.size()), 1);
     result.at_most("worst exit code of a keeper", worst, 0);
-    for (const std::string& name : troubles.names()) {
-        const auto at_name = troubles.struck().find(name);
-        result.at_least("struck: " + name,
-                        static_cast<double>(at_name == troubles.struck().end() ? 0 : at_name->second),
-                        run.quick ? 1 : 5);
-    }
+    for (const std::string& name : troubles.names())
+        result.at_least("struck: " + name, troubles.count(name), struck_least);
     return result;
 }
 
--- a/src/lab/links.cpp
+++ b/src/lab/links.cpp
@@ -121,7 +121,8 @@
     const LinkFaults& faults = pair->link->faults;
     const auto pass = [&](std::string bytes) {
         way.out_bytes += bytes.size();
-        way.out.emplace_back(clock_.now() + faults.delay, std::move(bytes));
+        way.out.emplace_back(clock_.now() + (there ? faults.delay_there : faults.delay_back),
+                             std::move(bytes));
     };
     if (way.plain > 0 && !way.in.empty()) {
         const std::size_t n = std::min(way.plain, way.in.size());
--- a/src/lab/links.hpp
+++ b/src/lab/links.hpp
@@ -28,8 +28,8 @@
 // Of one link; from who dials to who is dialled is `there`.
 struct LinkFaults {
     bool hold_there = false, hold_back = false;  // silence without a reset
-    Millis delay = 0;                            // each way
-    double lost = 0, doubled = 0, swapped = 0;   // parts of the frames, each way
+    Millis delay_there = 0, delay_back = 0;
+    double lost = 0, doubled = 0, swapped = 0;  // parts of the frames, each way
 };
 
 class Links {
