Check leases state by state, one sync for questions that come together, what rights cost

src/sim/check plays the cores themselves: every schedule with at most N deviations, states met before left out; one leader a term, one order of entries, one holder at a time, fences that never fall. The acceptor no longer looks at a keeper that is gone.

--- a/src/agree/keeper.hpp
+++ b/src/agree/keeper.hpp
@@ -23,6 +23,10 @@
 #include "agree/types.hpp"
 #include "random.hpp"
 
+namespace cobaltshift::check {
+struct Describe;  // of the explicit-state checker (sim/check): reads all that a core knows
+}
+
 namespace cobaltshift::agree {
 
 // What can't be if everybody keeps to the protocol: the keeper must stop, and say so.
@@ -125,6 +129,7 @@
     const Counts& counts() const { return counts_; }
 
 private:
+    friend struct check::Describe;
     struct Seen {  // of another id
         Run run;
         Term term = 0;
--- a/src/lab/lease_fleet.cpp
+++ b/src/lab/lease_fleet.cpp
@@ -156,6 +156,14 @@
                : nullptr;
 }
 
+lease::KeepersSettings LeaseFleet::settings() const {
+    lease::KeepersSettings settings;
+    for (const Keeper& keeper : keepers_) settings.keepers.push_back(keeper.at);
+    settings.secret_file = secret_file_;
+    settings.margin = options_.margin;
+    return settings;
+}
+
 std::optional<std::size_t> LeaseFleet::leader() const {
     std::optional<std::size_t> leader;
     std::uint64_t term = 0;
--- a/src/lab/lease_fleet.hpp
+++ b/src/lab/lease_fleet.hpp
@@ -15,6 +15,7 @@
 #include "lab/links.hpp"
 #include "lease/gate.hpp"
 #include "lease_io/line.hpp"
+#include "lease_io/settings.hpp"
 
 namespace cobaltshift::lab {
 
@@ -42,6 +43,10 @@
     void spoil_keeper(std::size_t k);  // dead: a byte of its database is changed
     bool keeper_runs(std::size_t k) const { return keepers_[k].child && !keepers_[k].stopped; }
     // By what keepers said of themselves lately.
+    lease::KeepersSettings settings() const;  // of whoever asks them straight
+    double keeper_cpu(std::size_t k) const {
+        return keepers_[k].child ? keepers_[k].child->cpu_seconds() : 0;
+    }
     std::optional<std::size_t> leader() const;
     // All others vote, run, are heard and have stored all that is agreed: this one's folder may be lost.
     bool others_whole(std::size_t k) const;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <iterator>
 
+#include "lab/check_lease.hpp"
 #include "lab/cost.hpp"
 #include "lab/demo.hpp"
 #include "lab/experiment.hpp"
@@ -139,6 +140,10 @@
     CLI::App* scripted =
         app.add_subcommand("cost-script", "requests one after another in one process, for callgrind");
     scripted->add_option("REQUESTS", requests)->check(CLI::Range(1, 10000000));
+    std::string checked;
+    CLI::App* checks = app.add_subcommand("check", "every schedule of a core's states with few deviations");
+    checks->add_option("WHAT", checked, "lease")->required()->check(CLI::IsMember({"lease"}));
+    options(checks);
     Acting acting;
     CLI::App* acted = app.add_subcommand("act", "acts on a target under the right in its environment");
     acted->add_option("TARGET", acting.target, "address:port in numbers, for datagrams")->required();
@@ -172,6 +177,7 @@
         }
         if (loaded->parsed()) return load.run([&](const Result& result) { return measured(result, json); });
         if (recorded->parsed()) return digests(folder);
+        if (checks->parsed()) return measured(check_lease(run), json);
         if (acted->parsed()) return acting.run();
         if (scripted->parsed()) return cost_script(requests);
         if (compared->parsed()) return compare(before, after, std::cout, std::cerr);
--- a/src/lab/scenarios.cpp
+++ b/src/lab/scenarios.cpp
@@ -1,5 +1,6 @@
 // The table of scenarios. Each is a command of cobaltshift-lab under its name.
 #include "lab/cost.hpp"
+#include "lab/lease_cost.hpp"
 #include "lab/lease_world.hpp"
 #include "lab/leases.hpp"
 #include "lab/planners.hpp"
@@ -15,6 +16,8 @@
          lease_world},
         {"leases", "keepers and holders as processes, links and machines failing: no two ever act at once",
          leases},
+        {"lease-cost", "rights and entries a second, syncs, CPU, time without a leader, on processes",
+         lease_cost},
         {"planners", "real forwarders and planners, these killed and restarted under load", planners},
         {"plan-path", "from a server's first failure to the first request spared, part by part", plan_path},
         {"cost", "what a request costs one forwarder: straight against through, in one run", cost},
--- a/src/lease/holder.hpp
+++ b/src/lease/holder.hpp
@@ -14,6 +14,10 @@
 #include "lease/types.hpp"
 #include "random.hpp"
 
+namespace cobaltshift::check {
+struct Describe;  // of the explicit-state checker (sim/check): reads all that a core knows
+}
+
 namespace cobaltshift::lease {
 
 struct HolderSettings {
@@ -62,6 +66,7 @@
     const Counts& counts() const { return counts_; }
 
 private:
+    friend struct check::Describe;
     struct Wanted {
         Millis length = 0;
         bool wait = false, releasing = false, outstanding = false;
--- a/src/lease/office.hpp
+++ b/src/lease/office.hpp
@@ -21,6 +21,10 @@
 #include "agree/keeper.hpp"
 #include "lease/book.hpp"
 
+namespace cobaltshift::check {
+struct Describe;  // of the explicit-state checker (sim/check): reads all that a core knows
+}
+
 namespace cobaltshift::lease {
 
 struct OfficeSettings {
@@ -71,6 +75,7 @@
     const Counts& counts() const { return counts_; }
 
 private:
+    friend struct check::Describe;
     struct Asker {
         Client client = 0;
         std::uint64_t number = 0;
--- a/src/lease_io/keeper_node.cpp
+++ b/src/lease_io/keeper_node.cpp
@@ -69,7 +69,10 @@
     pump();
 }
 
-KeeperNode::~KeeperNode() { stop(); }
+KeeperNode::~KeeperNode() {
+    *alive_ = false;
+    stop();
+}
 
 bool KeeperNode::votes() const {
     if (!office_) return false;
@@ -133,8 +136,8 @@
 // ---- Connections -----------------------------------------------------------------------------------------
 
 void KeeperNode::accept() {
-    acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
-        if (stopped_) return;
+    acceptor_.async_accept([this, alive = alive_](error_code ec, tcp::socket socket) {
+        if (!*alive || stopped_) return;
         if (ec) {  // no descriptor, most often
             accept_timer_.expires_after(std::chrono::milliseconds(50));
             accept_timer_.async_wait([this](error_code wait) {
@@ -258,11 +261,22 @@
 
 // ---- The order of what is done ---------------------------------------------------------------------------
 
+// What came together is kept together: the pump waits until all that has been read is taken in, so that one
+// sync serves many questions.
 void KeeperNode::event(const std::function<void()>& what) {
     if (stopped_ || !office_) return;
+    guarded(what);
+    if (stopped_ || std::exchange(pump_posted_, true)) return;
+    asio::post(io_, [this, alive = alive_] {
+        if (!*alive) return;
+        pump_posted_ = false;
+        guarded([this] { pump(); });
+    });
+}
+
+void KeeperNode::guarded(const std::function<void()>& what) {
     try {
         what();
-        pump();
     } catch (const std::exception& fault) {  // agree::Broken, or a disk that refuses
         end(std::string("keeper stops: ") + fault.what());
     }
--- a/src/lease_io/keeper_node.hpp
+++ b/src/lease_io/keeper_node.hpp
@@ -58,6 +58,7 @@
     void order(std::uint64_t session, std::string_view payload);
     std::string status() const;
     void event(const std::function<void()>& what);
+    void guarded(const std::function<void()>& what);
     void pump();
     void schedule();
     void end(const std::string& why);
@@ -74,7 +75,8 @@
     std::map<std::uint64_t, Session> sessions_;
     std::uint64_t next_session_ = 1;
     std::map<std::uint32_t, std::unique_ptr<Line>> peers_;
-    bool stopped_ = false, led_ = false;
+    bool stopped_ = false, led_ = false, pump_posted_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::string over_;
     std::function<void()> told_;
     Counts counts_;
