Draw ids and bound a keeper's answer in one place of lease_io

The same draw stood in keepers and in holders, the same bound of an answer in holders and in operators' questions. Now each is written once; behaviour as before.

--- a/src/lease_io/ask.cpp
+++ b/src/lease_io/ask.cpp
@@ -6,7 +6,7 @@
 namespace cobaltshift::lease {
 
 namespace {
-constexpr std::size_t kLargestAnswer = 1024 * 1024, kMostQueued = 64 * 1024;
+constexpr std::size_t kMostQueued = 64 * 1024;
 constexpr std::chrono::milliseconds kAgain{300};
 }  // namespace
 
--- a/src/lease_io/keeper_node.cpp
+++ b/src/lease_io/keeper_node.cpp
@@ -1,6 +1,5 @@
 #include "lease_io/keeper_node.hpp"
 
-#include <sodium.h>
 #include <xxhash.h>
 
 #include <nlohmann/json.hpp>
@@ -8,6 +7,7 @@
 #include "agree/codec.hpp"
 #include "lease/codec.hpp"
 #include "lease_io/clock.hpp"
+#include "lease_io/draw.hpp"
 #include "net/log.hpp"
 
 namespace cobaltshift::lease {
@@ -17,12 +17,6 @@
 constexpr std::size_t kPeerQueue = 2 * agree::kMaxMessageBytes, kClientQueue = 1024 * 1024;
 constexpr std::chrono::milliseconds kFullDiskPause{1000};
 
-std::uint64_t drawn() {
-    std::uint64_t value = 0;
-    randombytes_buf(&value, sizeof value);
-    return value;
-}
-
 const char* name_of(agree::Keeper::Role role) {
     switch (role) {
         case agree::Keeper::Role::leader:
--- a/src/lease_io/line.hpp
+++ b/src/lease_io/line.hpp
@@ -13,6 +13,9 @@
 
 namespace cobaltshift::lease {
 
+// Payload that a client takes from a keeper: what is listed, at the most.
+constexpr std::size_t kLargestAnswer = 1024 * 1024;
+
 class Line {
 public:
     using Frame = std::function<void(FrameKind, std::string_view)>;
--- a/src/lease_io/rights.cpp
+++ b/src/lease_io/rights.cpp
@@ -1,23 +1,16 @@
 #include "lease_io/rights.hpp"
 
-#include <sodium.h>
-
 #include <algorithm>
 
 #include "lease/codec.hpp"
 #include "lease_io/clock.hpp"
+#include "lease_io/draw.hpp"
 
 namespace cobaltshift::lease {
 
 namespace {
 
-constexpr std::size_t kLargestAnswer = 1024 * 1024, kMostQueued = 256 * 1024;
-
-std::uint64_t drawn() {
-    std::uint64_t value = 0;
-    while (value == 0) randombytes_buf(&value, sizeof value);
-    return value;
-}
+constexpr std::size_t kMostQueued = 256 * 1024;
 
 HolderSettings holder_settings(const KeepersSettings& settings, const std::string& name) {
     HolderSettings s;
