Shared probing: each server probed by one sidecar under a right, the others told

A failure that is heard of goes to the decision module as the rumour that it already knows.

The rig had found that a right lost and regained while keepers elect was taken for a new one: blind again, and its messages refused as told already.

The lease check ended with an exception where a core itself says that two lead in one term: that is now a finding.

--- a/src/lab/archive.cpp
+++ b/src/lab/archive.cpp
@@ -95,7 +95,10 @@
 
 void Archive::take(HttpServer::ExchangePtr exchange) {
     const HttpRequest& request = exchange->request();
-    if (request.target() == "/healthz") return exchange->respond(plain(200));
+    if (request.target() == "/healthz") {
+        probed_.push_back(clock_.now());
+        return exchange->respond(plain(200));
+    }
     ++attempts_;
     if (running_.size() + waiting_.size() >= options_.slots + options_.queue) {
         ++turned_away_;
--- a/src/lab/archive.hpp
+++ b/src/lab/archive.hpp
@@ -80,6 +80,7 @@
     void fail_share(double share) { fail_ = share; }  // that share gets a quick 500
 
     std::size_t attempts() const { return attempts_; }
+    const std::vector<Millis>& probed() const { return probed_; }  // when, since the start
     std::size_t turned_away() const { return turned_away_; }
     // The most work received within a window while cold, against what fells the server: over 1 it has fallen.
     double cold_peak() const { return cold_peak_; }
@@ -118,6 +119,7 @@
     double fail_ = 0, cold_peak_ = 0;
     bool frozen_ = false;
     std::size_t attempts_ = 0, turned_away_ = 0;
+    std::vector<Millis> probed_;
 };
 
 }  // namespace cobaltshift::lab
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -58,7 +58,7 @@
                   {"limits",
                    {{"max-attempts", 4},
                     {"may-cancel", true},
-                    {"may-probe", true},
+                    {"may-probe", options_.may_probe},
                     {"connect-timeout-ms", 250},
                     {"max-retry-after-ms", 1500}}},
                   {"rules",
@@ -72,7 +72,8 @@
     const std::string name = "n" + std::to_string(number);
     Child::Command command{beside("cobaltshift"), {}, {}};
     command.environment.push_back("NODE_CONFIG=" + folder_.write(name + ".json", config(number)));
-    if (!options_.settings_file.empty()) command.arguments = {"serve", "--settings", options_.settings_file};
+    const std::string file = options_.settings_of ? options_.settings_of(number) : options_.settings_file;
+    if (!file.empty()) command.arguments = {"serve", "--settings", file};
     children_[number] = std::make_unique<Child>(io_, command, [this, number](tcp::endpoint at) {
         fronts_[number] = at;
         if (on_front_) on_front_(number, at);
@@ -101,6 +102,16 @@
     launch(number);
 }
 
+void Fleet::replace_forwarder(std::size_t number) {
+    children_[number]->signal(SIGTERM);
+    const auto wait = std::make_shared<std::function<void()>>();
+    *wait = [this, number, wait] {
+        if (children_[number]->ended()) return launch(number);
+        later(20, [wait] { (*wait)(); });
+    };
+    (*wait)();
+}
+
 void Fleet::crash(std::size_t number, Millis down) {
     servers_[number]->crash();
     // It may have come back by the time that discovery notices.
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -17,10 +17,12 @@
 public:
     struct Options {
         std::size_t servers = 12, halls = 3, forwarders = 4;
-        Archive::Options server;    // its name, hall and seed are set by the fleet
-        std::string settings_file;  // given to each forwarder; empty: none
-        std::size_t sockets = 384;  // descriptors of a forwarder
-        Millis notice = 1000;       // after which discovery tells of a dead server
+        Archive::Options server;                              // its name, hall and seed are set by the fleet
+        std::string settings_file;                            // given to each forwarder; empty: none
+        std::function<std::string(std::size_t)> settings_of;  // or each its own, by number
+        std::size_t sockets = 384;                            // descriptors of a forwarder
+        bool may_probe = true;  // by the platform's word: races of the decision module's own
+        Millis notice = 1000;   // after which discovery tells of a dead server
         std::vector<ClassLoad> classes = usual_classes();
         std::uint64_t seed = 1;
     };
@@ -33,6 +35,9 @@
     // Kills one outright and starts it again under its name; the load is told its new address.
     void restart_forwarder(std::size_t number);
 
+    // Ends it as planned and starts it again under its name once it has ended.
+    void replace_forwarder(std::size_t number);
+
     // Dies now, and discovery tells of it after a while; comes back cold after `down`.
     void crash(std::size_t server, Millis down);
     // Discovery tells that it drains, then that it is gone, then that it serves again, as another process.
--- a/src/lab/lease_fleet.cpp
+++ b/src/lab/lease_fleet.cpp
@@ -56,23 +56,17 @@
             });
     }
     const auto settings = [&](const std::string& name, std::optional<std::size_t> keeper) {
-        std::ostringstream text;
-        text << "[keepers]\naddresses = [";
-        for (std::size_t k = 0; k < keepers_.size(); ++k) {
-            const std::string to = "keeper-" + std::to_string(k);
-            const tcp::endpoint at =
-                name == to ? keepers_[k].at : links_.add(name + ">" + to, keepers_[k].at);
-            text << (k ? ", " : "") << '"' << at << '"';
-        }
-        text << "]\nmargin_ms = " << options_.margin << "\nsecret_file = \"" << secret_file_ << "\"\n";
+        std::string text = keepers_table(name);
         if (keeper) {
             const std::string folder = folder_.path() + "/" + name;
             ::mkdir(folder.c_str(), 0755);
-            text << "[keeper]\nnumber = " << *keeper << "\nfleet = \"lab\"\nfolder = \"" << folder
-                 << "\"\nheartbeat_ms = " << options_.heartbeat << "\nelection_ms = " << options_.election
-                 << "\nwaiter_silence_ms = 4000\ncompact_after = 64\n";
+            std::ostringstream own;
+            own << "[keeper]\nnumber = " << *keeper << "\nfleet = \"lab\"\nfolder = \"" << folder
+                << "\"\nheartbeat_ms = " << options_.heartbeat << "\nelection_ms = " << options_.election
+                << "\nwaiter_silence_ms = 4000\ncompact_after = 64\n";
+            text += own.str();
         }
-        return folder_.write(name + ".toml", text.str());
+        return folder_.write(name + ".toml", text);
     };
     for (std::size_t k = 0; k < keepers_.size(); ++k) {
         const std::string file = settings("keeper-" + std::to_string(k), k);
@@ -83,6 +77,18 @@
         machines_[m].settings = settings("machine-" + std::to_string(m), std::nullopt);
 }
 
+std::string LeaseFleet::keepers_table(const std::string& name) {
+    std::ostringstream text;
+    text << "[keepers]\naddresses = [";
+    for (std::size_t k = 0; k < keepers_.size(); ++k) {
+        const std::string to = "keeper-" + std::to_string(k);
+        const tcp::endpoint at = name == to ? keepers_[k].at : links_.add(name + ">" + to, keepers_[k].at);
+        text << (k ? ", " : "") << '"' << at << '"';
+    }
+    text << "]\nmargin_ms = " << options_.margin << "\nsecret_file = \"" << secret_file_ << "\"\n";
+    return text.str();
+}
+
 LeaseFleet::~LeaseFleet() { over_ = true; }
 
 void LeaseFleet::later(Millis after, std::function<void()> what) {
--- a/src/lab/lease_fleet.hpp
+++ b/src/lab/lease_fleet.hpp
@@ -44,6 +44,8 @@
     bool keeper_runs(std::size_t k) const { return keepers_[k].child && !keepers_[k].stopped; }
     // By what keepers said of themselves lately.
     lease::KeepersSettings settings() const;  // of whoever asks them straight
+    // The settings' [keepers] for a process of this name, with a link of its own to each keeper.
+    std::string keepers_table(const std::string& name);
     double keeper_cpu(std::size_t k) const {
         return keepers_[k].child ? keepers_[k].child->cpu_seconds() : 0;
     }
--- a/src/lab/links.cpp
+++ b/src/lab/links.cpp
@@ -45,6 +45,20 @@
     std::list<std::shared_ptr<Pair>> pairs;
 };
 
+// A link of datagrams.
+struct Links::Post {
+    Post(asio::io_context& io, std::string its_name, udp::endpoint target)
+        : name(std::move(its_name)),
+          to(std::move(target)),
+          socket(io, {asio::ip::make_address("127.0.0.1"), 0}) {}
+    const std::string name;
+    const udp::endpoint to;
+    udp::socket socket;
+    udp::endpoint from;
+    std::array<char, 2048> bytes;
+    LinkFaults faults;
+};
+
 Links::Links(asio::io_context& io, const Clock& clock, sim::Stream lots)
     : io_(io), clock_(clock), lots_(lots) {}
 
@@ -60,6 +74,45 @@
     return link.acceptor.local_endpoint();
 }
 
+udp::endpoint Links::add(const std::string& name, udp::endpoint to) {
+    Post& post = posts_.emplace_back(io_, name, std::move(to));
+    receive(post);
+    return post.socket.local_endpoint();
+}
+
+void Links::receive(Post& post) {
+    post.socket.async_receive_from(
+        asio::buffer(post.bytes), post.from, [this, &post, alive = alive_](error_code ec, std::size_t n) {
+            if (!*alive || ec == asio::error::operation_aborted) return;
+            const auto send = [&post](const std::string& bytes) {
+                error_code ignored;
+                post.socket.send_to(asio::buffer(bytes), post.to, 0, ignored);
+            };
+            if (!ec) {
+                const std::string bytes(post.bytes.data(), n);
+                const LinkFaults& faults = post.faults;
+                ++counts_.datagrams;
+                if (faults.hold_there || lots_.unit() < faults.lost) {
+                    ++counts_.lost;
+                } else if (lots_.unit() < faults.swapped) {
+                    ++counts_.swapped;
+                    auto late = std::make_shared<asio::steady_timer>(io_);
+                    late->expires_at(clock_.point(clock_.now() + lots_.between(50, 500)));
+                    late->async_wait([late, send, bytes, alive](error_code cut) {
+                        if (!cut && *alive) send(bytes);
+                    });
+                } else {
+                    if (lots_.unit() < faults.doubled) {
+                        ++counts_.doubled;
+                        send(bytes);
+                    }
+                    send(bytes);
+                }
+            }
+            receive(post);
+        });
+}
+
 void Links::accept(Link& link) {
     link.acceptor.async_accept([this, &link, alive = alive_](error_code ec, tcp::socket socket) {
         if (ec || !*alive) return;
@@ -205,6 +258,8 @@
 
 std::size_t Links::set(const Names& which, const std::function<void(LinkFaults&)>& change) {
     std::size_t count = 0;
+    for (Post& post : posts_)
+        if (which(post.name)) ++count, change(post.faults);
     for (Link& link : links_) {
         if (!which(link.name)) continue;
         ++count;
--- a/src/lab/links.hpp
+++ b/src/lab/links.hpp
@@ -23,13 +23,14 @@
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using asio::ip::udp;
 using boost::system::error_code;
 
 // Of one link; from who dials to who is dialled is `there`.
 struct LinkFaults {
     bool hold_there = false, hold_back = false;  // silence without a reset
     Millis delay_there = 0, delay_back = 0;
-    double lost = 0, doubled = 0, swapped = 0;  // parts of the frames, each way
+    double lost = 0, doubled = 0, swapped = 0;  // parts of the frames, each way; of datagrams
 };
 
 class Links {
@@ -39,6 +40,8 @@
 
     // A new link to `to`; dial the address. The name is the user's, as "keeper-1>keeper-2".
     tcp::endpoint add(const std::string& name, tcp::endpoint to);
+    // The same for datagrams, one way: what is held back is lost, what is swapped comes late by 50 to 500 ms.
+    udp::endpoint add(const std::string& name, udp::endpoint to);
     // Of one link or of all whose name passes.
     using Names = std::function<bool(const std::string&)>;
     std::size_t set(const Names& which, const std::function<void(LinkFaults&)>& change);
@@ -49,7 +52,7 @@
 
     struct Counts {
         std::uint64_t connections = 0, frames = 0, lost = 0, doubled = 0, swapped = 0, held_bytes = 0,
-                      resets = 0;
+                      resets = 0, datagrams = 0;
     };
     const Counts& counts() const { return counts_; }
 
@@ -57,6 +60,8 @@
     struct Link;
     struct Pair;
     struct Way;
+    struct Post;
+    void receive(Post& post);
     void accept(Link& link);
     void read(const std::shared_ptr<Pair>& pair, bool there);
     void take(const std::shared_ptr<Pair>& pair, bool there);
@@ -67,6 +72,7 @@
     const Clock& clock_;
     sim::Stream lots_;
     std::list<Link> links_;
+    std::list<Post> posts_;
     Counts counts_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/lab/scenarios.cpp
+++ b/src/lab/scenarios.cpp
@@ -4,6 +4,7 @@
 #include "lab/lease_world.hpp"
 #include "lab/leases.hpp"
 #include "lab/planners.hpp"
+#include "lab/probing.hpp"
 #include "lab/scenario.hpp"
 #include "lab/sim_world.hpp"
 
@@ -18,6 +19,9 @@
          leases},
         {"lease-cost", "rights and entries a second, syncs, CPU, time without a leader, on processes",
          lease_cost},
+        {"probing",
+         "sidecars that share probing, killed, stopped and cut off: no server unprobed for long, none often",
+         probing},
         {"planners", "real forwarders and planners, these killed and restarted under load", planners},
         {"plan-path", "from a server's first failure to the first request spared, part by part", plan_path},
         {"cost", "what a request costs one forwarder: straight against through, in one run", cost},
--- a/src/lease_io/rights.cpp
+++ b/src/lease_io/rights.cpp
@@ -12,21 +12,22 @@
 
 constexpr std::size_t kMostQueued = 256 * 1024;
 
-HolderSettings holder_settings(const KeepersSettings& settings, const std::string& name) {
+HolderSettings holder_settings(const KeepersSettings& settings, const std::string& name, Millis poll) {
     HolderSettings s;
     s.id = drawn();
     s.name = name;
     s.keepers = static_cast<std::uint32_t>(settings.keepers.size());
     s.margin = settings.margin;
+    if (poll > 0) s.poll = poll;
     return s;
 }
 
 }  // namespace
 
-Rights::Rights(asio::io_context& io, const KeepersSettings& settings, const std::string& name)
+Rights::Rights(asio::io_context& io, const KeepersSettings& settings, const std::string& name, Millis poll)
     : io_(io),
       secret_(Secret::from_file(settings.secret_file)),
-      holder_(holder_settings(settings, name), drawn()),
+      holder_(holder_settings(settings, name, poll), drawn()),
       timer_(io) {
     for (const tcp::endpoint& at : settings.keepers)
         lines_.push_back(std::make_unique<Line>(io_, at, secret_, Role::client, kLargestAnswer, kMostQueued,
--- a/src/lease_io/rights.hpp
+++ b/src/lease_io/rights.hpp
@@ -19,8 +19,9 @@
 
 class Rights {
 public:
-    // `name`: of this process, for people. Throws plan::SecretError.
-    Rights(asio::io_context& io, const KeepersSettings& settings, const std::string& name);
+    // `name`: of this process, for people. `poll`: who waits in a queue asks again so often; 0: as usual.
+    // Throws plan::SecretError.
+    Rights(asio::io_context& io, const KeepersSettings& settings, const std::string& name, Millis poll = 0);
     ~Rights();
 
     void want(const std::string& task, Millis length, bool wait);
--- a/src/lease_io/settings.hpp
+++ b/src/lease_io/settings.hpp
@@ -14,6 +14,7 @@
     std::vector<boost::asio::ip::tcp::endpoint> keepers;  // their order gives their numbers
     std::string secret_file;
     Millis margin = 500;  // a right ends so long before its length is over
+    bool operator==(const KeepersSettings&) const = default;
 };
 
 // [keeper]: of one keeper's process.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 #include "net/node.hpp"
 #include "plan_io/advised.hpp"
 #include "plan_io/planner_node.hpp"
+#include "probing_io/shared_probing.hpp"
 #include "settings_file/settings_file.hpp"
 
 namespace {
@@ -46,8 +47,19 @@
                 std::make_unique<plan::Advised>(io, node.clock(), node.sidecar(), node.config(), settings);
     };
     advise(first.plan);
+    std::unique_ptr<probing::SharedProbing> probing;
+    const auto share = [&](const ProgramSettings& settings) {
+        probing.reset();
+        if (!settings.probing.instances.empty())
+            probing = std::make_unique<probing::SharedProbing>(
+                io, node.clock(), node.sidecar(), node.config(), settings.keepers, settings.probing);
+    };
+    share(first);
+    ProgramSettings in_force = first;
     stop.async_wait([&](error_code ec, int) {
-        if (!ec) node.stop([&] { io.stop(); });
+        if (ec) return;
+        if (probing) probing->stop(), log_line(probing->tally());
+        node.stop([&] { io.stop(); });
     });
     // All is read before anything changes: one bad file leaves the other's old state in force too.
     const std::function<void(error_code, int)> on_reload = [&](error_code ec, int) {
@@ -56,8 +68,16 @@
         try {
             const ProgramSettings settings = settings_of(settings_file);
             plan::Secret::from_file(settings.plan.secret_file);
+            plan::Secret::from_file(settings.keepers.secret_file);
             node.reload(settings.shares);
             advise(settings.plan);
+            // Rights that are held are not let go for a change that is not theirs.
+            if (settings.probing != in_force.probing || settings.keepers != in_force.keepers) try {
+                    share(settings);
+                } catch (const boost::system::system_error& error) {
+                    log_line(std::string("probing is off, it can't listen: ") + error.what());
+                }
+            in_force = settings;
         } catch (const std::exception& error) {
             log_line(std::string("the old configuration stays in force: ") + error.what());
         }
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -134,6 +134,12 @@
     return all;
 }
 
+std::optional<tcp::endpoint> Sidecar::dial_of(ServerId id) const {
+    const auto at = servers_.find(id);
+    if (at == servers_.end() || !at->second.listed) return {};
+    return at->second.dial;
+}
+
 void Sidecar::list_failed() { push(ServerList{ListKind::failed, {}}); }
 
 void Sidecar::peer_said(std::uint32_t from, std::vector<std::uint8_t> bytes) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -44,6 +44,7 @@
     void observe(Observer* observer) { observer_ = observer; }  // null: none; it must outlive its observing
     void guide(Guidance guidance) { push(std::move(guidance)); }
     std::vector<ServerInfo> listed() const;  // id, phase and online_since of each
+    std::optional<tcp::endpoint> dial_of(ServerId id) const;  // where it is listed
     std::vector<ServerId> removed() const { return balancer_.removed(); }
     void limit_connections(std::size_t most) { upstream_.limit_connections(most); }
 
--- /dev/null
+++ b/src/probing_io/shared_probing.cpp
@@ -0,0 +1,157 @@
+#include "probing_io/shared_probing.hpp"
+
+#include <algorithm>
+
+#include "lease_io/clock.hpp"
+#include "net/log.hpp"
+
+namespace cobaltshift::probing {
+
+using lease::own_clock;
+
+namespace {
+
+constexpr std::size_t kCode = 64;
+constexpr std::chrono::milliseconds kLookEvery{200};  // at what is listed
+constexpr std::size_t kSpareConnections = 2;          // beside the probes that are out
+
+Upstream::Limits limits(const Config& config, const ProbingSettings& settings) {
+    // An idle connection is kept for the next round where servers let it; else each round opens anew.
+    return {settings.core.probe, config.idle_close, settings.core.at_once + kSpareConnections, 0};
+}
+ProberSettings core(const ProbingSettings& settings) {
+    ProberSettings s = settings.core;
+    s.instances = static_cast<std::uint32_t>(settings.instances.size());
+    return s;
+}
+
+}  // namespace
+
+SharedProbing::SharedProbing(asio::io_context& io, const Clock& clock, Sidecar& sidecar, const Config& config,
+                             const lease::KeepersSettings& keepers, const ProbingSettings& settings)
+    : io_(io),
+      sidecar_(sidecar),
+      settings_(settings),
+      secret_(lease::Secret::from_file(keepers.secret_file)),
+      prober_(core(settings)),
+      // Who waits asks again within a length: a keeper that has just begun to lead knows whom to answer.
+      rights_(io, keepers, config.name, settings.length),
+      probes_(io, clock, limits(config, settings),
+              {nullptr, [this](ServerId server, Outcome outcome, Millis) { ended(server, outcome); }}),
+      socket_(io, settings.listen),
+      timer_(io),
+      look_(io) {
+    socket_.non_blocking(true);
+    rights_.on_turn([this] { turn(); });
+    listen();
+    look();
+}
+
+SharedProbing::~SharedProbing() { *alive_ = false; }
+
+void SharedProbing::stop() {
+    look_.cancel();
+    prober_.stop(own_clock());
+    turn();
+}
+
+std::string SharedProbing::tally() const {
+    const Prober::Counts& c = prober_.counts();
+    const Prober::Known known = prober_.known(own_clock());
+    return "probing: " + std::to_string(c.probes) + " probes, " + std::to_string(c.gained) +
+           " shards gained, " + std::to_string(c.lost) + " lost, " + std::to_string(c.told) + " told, " +
+           std::to_string(c.heard) + " heard, " + std::to_string(c.refused) + " refused; servers " +
+           std::to_string(known.good) + " good, " + std::to_string(known.bad) + " bad, " +
+           std::to_string(known.unknown) + " unknown";
+}
+
+void SharedProbing::look() {
+    std::vector<ServerId> servers;
+    for (const ServerInfo& info : sidecar_.listed())
+        if (info.phase == Phase::on) servers.push_back(info.id);
+    prober_.listed(own_clock(), servers);
+    turn();
+    look_.expires_after(kLookEvery);
+    look_.async_wait([this, alive = alive_](error_code ec) {
+        if (!ec && *alive) look();
+    });
+}
+
+// A probe that ends at once comes back in here: it is taken up in the same turn.
+void SharedProbing::turn() {
+    again_ = true;
+    if (std::exchange(turning_, true)) return;
+    while (std::exchange(again_, false)) {
+        const Millis now = own_clock();
+        for (std::uint32_t shard = 0; shard < settings_.core.shards; ++shard)
+            if (prober_.wants(shard)) prober_.right(now, shard, rights_.right(task_of(shard)));
+        prober_.tick(now);
+        carry_out();
+    }
+    turning_ = false;
+    const Millis due = prober_.due() - own_clock();
+    if (due > 1e12) return timer_.cancel(), void();
+    timer_.expires_after(std::chrono::microseconds(static_cast<long>(std::max(0.0, due) * 1000) + 100));
+    timer_.async_wait([this, alive = alive_](error_code ec) {
+        if (!ec && *alive) turn();
+    });
+}
+
+void SharedProbing::carry_out() {
+    const Prober::Output output = prober_.take();
+    for (const std::string& message : output.tell) {
+        const std::string bytes = secret_.given() ? message + secret_.code({message}) : message;
+        for (std::size_t to = 0; to < settings_.instances.size(); ++to) {
+            error_code ignored;  // a message that can't go is a lost one
+            if (to != settings_.core.number)
+                socket_.send_to(asio::buffer(bytes), settings_.instances[to], 0, ignored);
+        }
+    }
+    for (const std::uint32_t shard : output.want) rights_.want(task_of(shard), settings_.length, true);
+    for (const std::uint32_t shard : output.give_up) rights_.give_up(task_of(shard));
+    for (const ServerId server : output.probe) {
+        const auto at = sidecar_.dial_of(server);
+        // The last look before the act: the clock, once more.
+        const auto right = rights_.right(task_of(shard_of(server, settings_.core.shards)));
+        if (!at || !right || right->until < own_clock() + settings_.core.probe) {
+            prober_.probed(own_clock(), server, std::nullopt);
+            continue;
+        }
+        probes_.probe(server, *at);
+    }
+    // Four bytes are the gossip's form of a rumour, from ourselves.
+    for (const ServerId server : output.failed) {
+        std::vector<std::uint8_t> rumour;
+        for (int shift = 24; shift >= 0; shift -= 8)
+            rumour.push_back(static_cast<std::uint8_t>(server >> shift));
+        sidecar_.peer_said(sidecar_.config().settings.my_number, std::move(rumour));
+    }
+}
+
+void SharedProbing::ended(ServerId server, Outcome outcome) {
+    std::optional<bool> good;
+    if (outcome != Outcome::superseded) good = outcome == Outcome::completed;
+    prober_.probed(own_clock(), server, good);
+    turn();
+}
+
+void SharedProbing::listen() {
+    socket_.async_receive_from(
+        asio::buffer(bytes_), from_, [this, alive = alive_](error_code ec, std::size_t size) {
+            if (ec == asio::error::operation_aborted || !*alive) return;
+            if (!ec) {
+                std::string_view bytes(bytes_.data(), size);
+                const std::size_t code = secret_.given() ? kCode : 0;
+                if (size > code && size < bytes_.size()) {
+                    const std::string_view message = bytes.substr(0, size - code);
+                    if (!secret_.given() || secret_.right(bytes.substr(message.size()), {message})) {
+                        prober_.heard(own_clock(), message);
+                        turn();
+                    }
+                }
+            }
+            listen();
+        });
+}
+
+}  // namespace cobaltshift::probing
--- a/src/settings_file/settings_file.cpp
+++ b/src/settings_file/settings_file.cpp
@@ -33,6 +33,32 @@
     keeper.done();
 }
 
+void read_probing(Section& root, ProgramSettings& settings) {
+    probing::ProbingSettings& s = settings.probing;
+    Section probing = root.section("probing");
+    std::vector<tcp::endpoint> instances;
+    probing.need("instances"), probing.endpoints("instances", instances, probing::kMaxInstances);
+    if (instances.empty()) probing.wrong("instances", "is empty");
+    for (const tcp::endpoint& at : instances) s.instances.emplace_back(at.address(), at.port());
+    probing.need("number");
+    probing.count("number", s.core.number, 0, static_cast<double>(instances.size() - 1));
+    tcp::endpoint listen = instances[s.core.number];
+    probing.endpoint("listen", listen);
+    s.listen = {listen.address(), listen.port()};
+    probing.count("shards", s.core.shards, 1, probing::kMaxShards);
+    probing.number("interval_ms", s.core.interval, 1000, 3600000);
+    probing.number("length_ms", s.length, lease::kShortest, 900000);
+    probing.number("probe_ms", s.core.probe, 10, 60000);
+    probing.count("stand_by", s.core.stand_by, 1, 16);
+    probing.count("at_once", s.core.at_once, 1, 64);
+    // What the bounds on probes rest on (src/probing/prober.hpp, docs/operate/probing.md).
+    if (s.length > s.core.interval / 4) probing.wrong("length_ms", "is over a quarter of interval_ms");
+    if (s.core.probe + settings.keepers.margin > s.length / 2)
+        probing.wrong("probe_ms", "and keepers.margin_ms are together over half of length_ms");
+    if (settings.keepers.keepers.empty()) probing.wrong("instances", "needs keepers.addresses");
+    probing.done();
+}
+
 }  // namespace
 
 ProgramSettings read_settings(const std::string& text, const std::string& file) {
@@ -83,6 +109,7 @@
     keepers.text("secret_file", settings.keepers.secret_file);
     keepers.done();
     if (root.has("keeper")) read_keeper(root, settings);
+    if (root.has("probing")) read_probing(root, settings);
     root.done();
     return settings;
 }
--- a/src/settings_file/settings_file.hpp
+++ b/src/settings_file/settings_file.hpp
@@ -8,6 +8,7 @@
 #include "lease_io/settings.hpp"
 #include "net/shares.hpp"
 #include "plan_io/settings.hpp"
+#include "probing_io/settings.hpp"
 #include "settings_file/error.hpp"
 
 namespace cobaltshift {
@@ -17,6 +18,7 @@
     plan::ClientSettings plan;
     std::optional<plan::ServerSettings> planner;  // given: this file can start a planner
     lease::KeepersSettings keepers;               // none: no rights can be asked for
+    probing::ProbingSettings probing;             // without instances: off
     std::optional<lease::KeeperSettings> keeper;  // given: this file can start a keeper
 };
 
--- a/src/sim/check/lease_check.cpp
+++ b/src/sim/check/lease_check.cpp
@@ -100,14 +100,18 @@
     unsigned left() const { return left_; }
     std::uint64_t stale() const { return stale_; }
 
-    // The one next step of the fixed schedule.
+    // The one next step of the fixed schedule. A core that is told what can't be says so.
     void step() {
-        if (const auto at = deliverable()) {
-            const Flight flight = net_[*at];
-            net_.erase(net_.begin() + static_cast<std::ptrdiff_t>(*at));
-            deliver(flight);
-        } else {
-            pass_time();
+        try {
+            if (const auto at = deliverable()) {
+                const Flight flight = net_[*at];
+                net_.erase(net_.begin() + static_cast<std::ptrdiff_t>(*at));
+                deliver(flight);
+            } else {
+                pass_time();
+            }
+        } catch (const agree::Broken& fault) {
+            broken(fault.what());
         }
         look();
     }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -42,6 +42,29 @@
         EXPECT_NE(complaint(text).find(said), std::string::npos) << text << " -> " << complaint(text);
 }
 
+TEST(SettingsFile, SharedProbingThatMakesNoSense) {
+    const std::string three = "[keepers]\naddresses = [\"127.0.0.1:1\", \"127.0.0.1:2\", \"127.0.0.1:3\"]\n";
+    const std::string good = "[probing]\nnumber = 1\ninstances = [\"127.0.0.1:4\", \"127.0.0.1:5\"]\n";
+    const std::pair<std::string, const char*> table[] = {
+        {three + good, "none"},
+        {good, "x.toml:3: probing.instances needs keepers.addresses"},
+        {three + "[probing]\nnumber = 1\n", "probing.instances is missing"},
+        {three + "[probing]\nnumber = 0\ninstances = []\n", "x.toml:5: probing.instances is empty"},
+        {three + "[probing]\ninstances = [\"127.0.0.1:4\"]\n", "probing.number is missing"},
+        {three + "[probing]\nnumber = 1\ninstances = [\"127.0.0.1:4\"]\n",
+         "x.toml:4: probing.number is not between 0 and 0"},
+        {three + good + "shards = 0\n", "x.toml:6: probing.shards is not between 1 and 256"},
+        {three + good + "length_ms = 2600\n", "x.toml:6: probing.length_ms is over a quarter of interval_ms"},
+        {three + good + "probe_ms = 600\n", "x.toml:6: probing.probe_ms and keepers.margin_ms are together"},
+        {three + good + "interval_ms = 10\n", "x.toml:6: probing.interval_ms is not between"},
+        {three + good + "listen = \"here\"\n", "x.toml:6: probing.listen is not address:port"},
+        {three + good + "stand_by = 0\n", "x.toml:6: probing.stand_by is not between 1 and 16"},
+        {three + good + "probes = 3\n", "x.toml:6: probing.probes is not known"},
+    };
+    for (const auto& [text, said] : table)
+        EXPECT_NE(complaint(text).find(said), std::string::npos) << text << " -> " << complaint(text);
+}
+
 TEST(SettingsFile, ComplaintsNameFileLineAndKey) {
     const std::pair<const char*, const char*> table[] = {
         {"[shares]\nclients_hold = 0.5\n", "none"},
@@ -87,7 +110,12 @@
     EXPECT_EQ(example.keeper->office.compact_after, keeper.office.compact_after);
     EXPECT_EQ(example.keeper->connections, keeper.connections);
     EXPECT_EQ(example.keeper->listen, example.keepers.keepers[0]);
-    load_settings(COBALTSHIFT_DEPLOY "/platform.toml");
+    const probing::ProbingSettings probing;
+    ASSERT_EQ(example.probing.instances.size(), 2u);
+    EXPECT_EQ(example.probing.listen, example.probing.instances[0]);
+    EXPECT_EQ(example.probing.length, probing.length);
+    EXPECT_EQ(example.probing.core, probing.core);
+    EXPECT_TRUE(load_settings(COBALTSHIFT_DEPLOY "/platform.toml").probing.instances.empty());
 }
 
 }  // namespace
