Log by spdlog with events and bounds of their own; metrics; how shared probing is run

Not prometheus-cpp: Debian's headers come with a web server, which may not be installed here. spdlog as headers only: what runs needs no library more.

--- a/src/lease_cli.cpp
+++ b/src/lease_cli.cpp
@@ -13,7 +13,8 @@
 #include "lease_io/ask.hpp"
 #include "lease_io/clock.hpp"
 #include "lease_io/keeper_node.hpp"
-#include "net/log.hpp"
+#include "log/log.hpp"
+#include "metrics_io/endpoint.hpp"
 
 namespace cobaltshift {
 
@@ -156,6 +157,7 @@
         return 2;
     }
     settings_ = load_settings(file_);
+    log_as(settings_.log);
     need_keepers();
     if (sodium_init() < 0) throw std::runtime_error("libsodium can't start");
     if (keeper_->parsed()) {
@@ -184,9 +186,16 @@
         node.stop();
         io.stop();
     });
+    std::unique_ptr<MetricsEndpoint> metrics;
+    if (settings_.metrics)
+        metrics = std::make_unique<MetricsEndpoint>(io, *settings_.metrics, [&node] {
+            MetricsText text;
+            node.metrics(text);
+            return text.text();
+        });
     std::ostringstream address;
     address << node.endpoint();
-    log_line("listens on " + address.str());
+    log_line("listens", "listens on " + address.str(), {{"address", address.str()}});
     io.run();
     return node.over().empty() ? 0 : 1;
 }
@@ -194,8 +203,8 @@
 int LeaseCli::found() {
     if (!settings_.keeper) throw SettingsError(file_ + ": keeper is missing");
     lease::found(*settings_.keeper, settings_.keepers.keepers.size());
-    log_line("keeper " + std::to_string(settings_.keeper->office.agree.number) + " of '" +
-             settings_.keeper->fleet + "' is founded in " + settings_.keeper->folder);
+    log_line("keeper.founded", "keeper " + std::to_string(settings_.keeper->office.agree.number) + " of '" +
+                                   settings_.keeper->fleet + "' is founded in " + settings_.keeper->folder);
     return 0;
 }
 
--- a/src/lease_io/keeper_node.cpp
+++ b/src/lease_io/keeper_node.cpp
@@ -8,7 +8,7 @@
 #include "lease/codec.hpp"
 #include "lease_io/clock.hpp"
 #include "lease_io/draw.hpp"
-#include "net/log.hpp"
+#include "log/log.hpp"
 
 namespace cobaltshift::lease {
 
@@ -92,7 +92,7 @@
 void KeeperNode::end(const std::string& why) {
     if (!over_.empty()) return;
     over_ = why;
-    log_line(why);
+    log_line("keeper.over", why);
     stop();
     if (told_) asio::post(io_, told_);
 }
@@ -101,7 +101,9 @@
 // others to be taken in, and has no vote before.
 void KeeperNode::begin_anew(const std::string& why) {
     ++counts_.lives;
-    log_line("keeper " + std::to_string(own_.office.agree.number) + " begins a new life: " + why);
+    log_line("keeper.new_life",
+             "keeper " + std::to_string(own_.office.agree.number) + " begins a new life: " + why,
+             {{"keeper", std::uint64_t{own_.office.agree.number}}, {"why", why}});
     folder_->begin(agree::newcomer(office_settings_.agree.fleet, agree::kFirstDrawn + (drawn() >> 4)));
 }
 
@@ -220,6 +222,41 @@
     return said.dump();
 }
 
+void KeeperNode::metrics(MetricsText& m) const {
+    m.gauge("cobaltshift_keeper_up", "1 while it holds its folder and takes part", office_ != nullptr);
+    m.counter("cobaltshift_keeper_lives_total", "new lives begun", static_cast<double>(counts_.lives));
+    m.counter("cobaltshift_keeper_refused_messages_total", "messages of keepers that were none",
+              static_cast<double>(counts_.refused_messages));
+    m.gauge("cobaltshift_keeper_connections", "open", static_cast<double>(sessions_.size()));
+    if (!office_ || !folder_) return;
+    const agree::Keeper& keeper = office_->keeper();
+    const auto count = [](std::uint64_t value) { return static_cast<double>(value); };
+    m.gauge("cobaltshift_keeper_leads", "1 at the keeper that leads", keeper.leads());
+    m.gauge("cobaltshift_keeper_votes", "1 at a member with a vote", votes());
+    m.gauge("cobaltshift_keeper_term", "grows with each election", count(keeper.term()));
+    m.gauge("cobaltshift_keeper_commit", "entries agreed", count(keeper.commit()));
+    m.counter("cobaltshift_keeper_elections_total", "begun by this keeper", count(keeper.counts().elections));
+    m.counter("cobaltshift_keeper_syncs_total", "writes to the folder", count(folder_->transactions()));
+    m.gauge("cobaltshift_keeper_longest_sync_ms", "since the start", counts_.longest_sync);
+    m.gauge("cobaltshift_lease_tasks", "in the book", count(office_->book().tasks().size()));
+    m.gauge("cobaltshift_lease_fence", "the last given", count(office_->book().last_fence()));
+    const Office::Counts& c = office_->counts();
+    m.family("cobaltshift_lease_events_total", MetricsText::Kind::counter, "at this keeper, by kind");
+    m.sample(count(c.questions), {{"kind", "question"}});
+    m.sample(count(c.grants), {{"kind", "grant"}});
+    m.sample(count(c.renewals), {{"kind", "renewal"}});
+    m.sample(count(c.lapses), {{"kind", "lapse"}});
+    m.sample(count(c.elsewhere), {{"kind", "elsewhere"}});
+    m.sample(count(c.dropped), {{"kind", "dropped"}});
+    if (!keeper.leads()) return;
+    m.family("cobaltshift_keeper_behind", MetricsText::Kind::gauge,
+             "entries that a member has not stored yet");
+    for (const agree::Member& member : keeper.members())
+        if (const auto peer = keeper.peers().find(member.id); peer != keeper.peers().end())
+            m.sample(count(keeper.last()) - count(peer->second.match),
+                     {{"keeper", std::to_string(member.number)}});
+}
+
 // {"do": "status"} or {"do": "remove", "keeper": N}
 void KeeperNode::order(std::uint64_t session, std::string_view payload) {
     using nlohmann::json;
@@ -284,7 +321,9 @@
             try {
                 folder_->keep(output.ready);
             } catch (const store::FolderFull& fault) {
-                log_line(std::string("keeper starts again: ") + fault.what());
+                log_line("keeper.restarts", std::string("keeper starts again: ") + fault.what(),
+                         {{"keeper", std::uint64_t{own_.office.agree.number}},
+                          {"why", std::string(fault.what())}});
                 ++counts_.restarts;
                 office_.reset();
                 timer_.expires_after(kFullDiskPause);
@@ -305,8 +344,8 @@
             folder_->begin(
                 agree::newcomer(office_settings_.agree.fleet, agree::kFirstDrawn + (drawn() >> 4)));
             ++counts_.lives;
-            log_line("keeper " + std::to_string(own_.office.agree.number) +
-                     " is no member any more; it asks to be taken in anew");
+            log_line("keeper.new_life", "keeper " + std::to_string(own_.office.agree.number) +
+                                            " is no member any more; it asks to be taken in anew");
             boot();
             continue;
         }
@@ -325,9 +364,13 @@
     }
     if (stopped_ || !office_) return;
     if (const bool leads = office_->keeper().leads(); leads != std::exchange(led_, leads))
-        log_line("keeper " + std::to_string(own_.office.agree.number) +
-                 (leads ? " leads in term " : " leads no more; term ") +
-                 std::to_string(office_->keeper().term()));
+        log_line("keeper.leads",
+                 "keeper " + std::to_string(own_.office.agree.number) +
+                     (leads ? " leads in term " : " leads no more; term ") +
+                     std::to_string(office_->keeper().term()),
+                 {{"keeper", std::uint64_t{own_.office.agree.number}},
+                  {"leads", leads},
+                  {"term", office_->keeper().term()}});
     schedule();
 }
 
--- a/src/lease_io/keeper_node.hpp
+++ b/src/lease_io/keeper_node.hpp
@@ -14,6 +14,7 @@
 #include "lease/office.hpp"
 #include "lease_io/line.hpp"
 #include "lease_io/settings.hpp"
+#include "metrics/text.hpp"
 #include "store_io/folder.hpp"
 
 namespace cobaltshift::lease {
@@ -39,6 +40,7 @@
     void stop();         // lets go of its connections and its folder; at a planned end
     // Where not empty, the loop should end: this keeper can't go on.
     const std::string& over() const { return over_; }
+    void metrics(MetricsText& text) const;
     void when_over(std::function<void()> told) { told_ = std::move(told); }
 
     struct Counts {
--- a/src/lease_io/run_command.cpp
+++ b/src/lease_io/run_command.cpp
@@ -12,7 +12,7 @@
 
 #include "lease_io/clock.hpp"
 #include "lease_io/rights.hpp"
-#include "net/log.hpp"
+#include "log/log.hpp"
 
 namespace cobaltshift::lease {
 
@@ -113,7 +113,8 @@
 
     void end_in_time(const std::string& why) {
         ending_ = true;
-        log_line("lease " + command_.task + ": " + why + "; the command is ended");
+        log_line("lease.ends", "lease " + command_.task + ": " + why + "; the command is ended",
+                 {{"task", command_.task}, {"fence", fence_}, {"why", why}});
         ::kill(-child_, SIGTERM);
         ::kill(-child_, SIGCONT);  // a stopped one could not hear it
         const Millis left = std::min(end_.at().load() - own_clock(), command_.grace);
@@ -204,7 +205,9 @@
     void finish(int code, const std::string& why) {
         over_ = true;
         code_ = code;
-        if (!why.empty()) log_line("lease " + command_.task + ": " + why);
+        if (!why.empty())
+            log_line("lease.over", "lease " + command_.task + ": " + why,
+                     {{"task", command_.task}, {"why", why}});
         rights_.give_up(command_.task, command_.next);
         if (rights_.state(command_.task) == Holder::State::idle) return io_.stop();
         timer_.expires_after(std::chrono::milliseconds(static_cast<long>(kReleaseWithin)));
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,7 +7,8 @@
 #include <sstream>
 
 #include "lease_cli.hpp"
-#include "net/log.hpp"
+#include "log/log.hpp"
+#include "metrics_io/endpoint.hpp"
 #include "net/node.hpp"
 #include "plan_io/advised.hpp"
 #include "plan_io/planner_node.hpp"
@@ -19,7 +20,9 @@
 using namespace cobaltshift;
 
 ProgramSettings settings_of(const std::string& file) {
-    return file.empty() ? ProgramSettings() : load_settings(file);
+    ProgramSettings settings = file.empty() ? ProgramSettings() : load_settings(file);
+    log_as(settings.log);
+    return settings;
 }
 
 // What goes wrong in one handler, memory that can't be had above all, must not end all others' requests.
@@ -28,7 +31,7 @@
         try {
             io.run();
         } catch (const std::exception& error) {
-            log_line(std::string("a handler failed: ") + error.what());
+            log_line("handler.failed", std::string("a handler failed: ") + error.what());
         }
     }
 }
@@ -56,9 +59,17 @@
     };
     share(first);
     ProgramSettings in_force = first;
+    std::unique_ptr<MetricsEndpoint> metrics;
+    if (first.metrics)
+        metrics = std::make_unique<MetricsEndpoint>(io, *first.metrics, [&] {
+            MetricsText text;
+            node.sidecar().metrics(text);
+            if (probing) probing->metrics(text);
+            return text.text();
+        });
     stop.async_wait([&](error_code ec, int) {
         if (ec) return;
-        if (probing) probing->stop(), log_line(probing->tally());
+        if (probing) probing->stop(), log_line("probing", probing->tally());
         node.stop([&] { io.stop(); });
     });
     // All is read before anything changes: one bad file leaves the other's old state in force too.
@@ -75,11 +86,11 @@
             if (settings.probing != in_force.probing || settings.keepers != in_force.keepers) try {
                     share(settings);
                 } catch (const boost::system::system_error& error) {
-                    log_line(std::string("probing is off, it can't listen: ") + error.what());
+                    log_line("probing.off", std::string("probing is off, it can't listen: ") + error.what());
                 }
             in_force = settings;
         } catch (const std::exception& error) {
-            log_line(std::string("the old configuration stays in force: ") + error.what());
+            log_line("reload.refused", std::string("the old configuration stays in force: ") + error.what());
         }
     };
     reload.async_wait(on_reload);
@@ -99,7 +110,7 @@
     });
     std::ostringstream address;
     address << node.endpoint();
-    log_line("listens on " + address.str());
+    log_line("listens", "listens on " + address.str(), {{"address", address.str()}});
     run(io);
     return 0;
 }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
-#include "net/log.hpp"
+#include "log/log.hpp"
 
 namespace cobaltshift {
 
@@ -44,7 +44,8 @@
 
 void Discovery::move_to(const tcp::endpoint& to) {
     if (to == at_) return;
-    log_line("discovery moves");
+    log_line("discovery.moves", "discovery moves",
+             {{"to", to.address().to_string() + ":" + std::to_string(to.port())}});
     at_ = to;
     const auto old = std::move(call_);
     call_.reset();
@@ -126,7 +127,7 @@
 
 void Discovery::failed(const std::shared_ptr<Call>& call, const std::string& why) {
     if (call_ != call) return;
-    log_line("discovery: " + why);
+    log_line("discovery.failed", "discovery: " + why, {{"why", why}});
     call_.reset();
     kept_.reset();
     // One service for all is asked for what has changed since the version held, as long as it gives any:
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,7 +1,7 @@
 #include "net/listener.hpp"
 
+#include "log/log.hpp"
 #include "net/form.hpp"
-#include "net/log.hpp"
 
 namespace cobaltshift {
 
@@ -118,19 +118,19 @@
     void receive() {
         if (receiving_ || state_ == State::closed) return;
         receiving_ = true;
-        socket_.async_read_some(asio::buffer(chunk_),
-                                [this, self = shared_from_this()](error_code ec, std::size_t n) {
-                                    receiving_ = false;
-                                    if (state_ == State::closed) return;
-                                    try {
-                                        received(ec, n);
-                                    } catch (const std::exception& error) {
-                                        // Of one connection: what goes wrong with it must not touch the
-                                        // others.
-                                        log_line(std::string("a connection failed: ") + error.what());
-                                        close();
-                                    }
-                                });
+        socket_.async_read_some(
+            asio::buffer(chunk_), [this, self = shared_from_this()](error_code ec, std::size_t n) {
+                receiving_ = false;
+                if (state_ == State::closed) return;
+                try {
+                    received(ec, n);
+                } catch (const std::exception& error) {
+                    // Of one connection: what goes wrong with it must not touch the
+                    // others.
+                    log_line("listener.failed", std::string("a connection failed: ") + error.what());
+                    close();
+                }
+            });
     }
 
     void received(error_code ec, std::size_t n) {
@@ -322,7 +322,7 @@
         if (ec == asio::error::no_descriptors || ec == error_code(ENFILE, boost::system::system_category()) ||
             ec == asio::error::no_buffer_space || ec == asio::error::no_memory) {
             // The connection stays in the kernel, and asking again at once would spin.
-            log_line("accept: " + ec.message());
+            log_line("listener.accept", "accept: " + ec.message());
             paused_ = true;
             retry_.expires_after(kAcceptRetry);
             retry_.async_wait([this](error_code stop) {
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <sstream>
 
-#include "net/log.hpp"
+#include "log/log.hpp"
 
 namespace cobaltshift {
 
@@ -67,7 +67,7 @@
     listener_.open_for_use();
     std::ostringstream address;
     address << endpoint();
-    log_line("listens on " + address.str());
+    log_line("listens", "listens on " + address.str(), {{"address", address.str()}});
     tally();
 }
 
@@ -99,14 +99,14 @@
         std::chrono::milliseconds(std::max(100, static_cast<int>(tally_seconds_ * 1000))));
     tally_timer_.async_wait([this](error_code ec) {
         if (ec) return;
-        log_line(sidecar_.tally());
+        log_line("tally", sidecar_.tally());
         tally();
     });
 }
 
 void Node::wind_down() {
     if ((!listener_.busy() && sidecar_.unanswered() == 0) || clock_.now() >= stop_at_) {
-        log_line(sidecar_.tally());
+        log_line("tally", sidecar_.tally());
         return stopped_();
     }
     timer_.expires_after(kLook);
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "net/log.hpp"
+#include "log/log.hpp"
 
 namespace cobaltshift {
 
@@ -13,7 +13,9 @@
 }
 
 void Peers::tell(std::optional<std::uint32_t> to, const std::vector<std::uint8_t>& bytes) {
-    if (bytes.size() > kLongest) return log_line("a message to peers is too long and was not sent");
+    if (bytes.size() > kLongest)
+        return log_line("peers.too_long", "a message to peers is too long and was not sent",
+                        {{"bytes", std::uint64_t{bytes.size()}}});
     if (to ? *to >= config_.peers.size() : !config_.peers_all) return;
     error_code ignored;  // a message that can't go is a lost one
     socket_.send_to(asio::buffer(bytes), to ? config_.peers[*to] : *config_.peers_all, 0, ignored);
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -5,9 +5,9 @@
 #include <cstdio>
 #include <limits>
 
+#include "log/log.hpp"
 #include "names.hpp"
 #include "net/discovery.hpp"
-#include "net/log.hpp"
 #include "net/peers.hpp"
 #include "net/tally.hpp"
 
@@ -43,6 +43,11 @@
 
 std::string Sidecar::tally() const { return tally_line(balancer_.tally(), upstream_.counts()); }
 
+void Sidecar::metrics(MetricsText& text) const {
+    tally_metrics(balancer_.tally(), upstream_.counts(), text);
+    text.gauge("cobaltshift_requests_open", "taken and not answered yet", static_cast<double>(unanswered_));
+}
+
 // ---- Events
 // -------------------------------------------------------------------------------------------------
 
@@ -310,7 +315,8 @@
 
 void Sidecar::carry_out(const Log& a) {
     const auto at = a.server ? servers_.find(*a.server) : servers_.end();
-    log_line((at == servers_.end() ? std::string() : at->second.name + " ") + a.text);
+    const std::string name = at == servers_.end() ? std::string() : at->second.name;
+    log_line("module", (name.empty() ? name : name + " ") + a.text, {{"server", name}});
 }
 
 }  // namespace cobaltshift
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "metrics/text.hpp"
 #include "module.hpp"
 #include "net/clock.hpp"
 #include "net/config.hpp"
@@ -43,7 +44,7 @@
     };
     void observe(Observer* observer) { observer_ = observer; }  // null: none; it must outlive its observing
     void guide(Guidance guidance) { push(std::move(guidance)); }
-    std::vector<ServerInfo> listed() const;  // id, phase and online_since of each
+    std::vector<ServerInfo> listed() const;                   // id, phase and online_since of each
     std::optional<tcp::endpoint> dial_of(ServerId id) const;  // where it is listed
     std::vector<ServerId> removed() const { return balancer_.removed(); }
     void limit_connections(std::size_t most) { upstream_.limit_connections(most); }
@@ -72,6 +73,7 @@
     };
     Held held() const;
     std::string tally() const;  // a line for the log
+    void metrics(MetricsText& text) const;
 
 private:
     struct Request {
--- a/src/net/tally.cpp
+++ b/src/net/tally.cpp
@@ -18,4 +18,28 @@
     return line;
 }
 
+void tally_metrics(const kelplb::Balancer::Tally& m, const Upstream::Counts& s, MetricsText& text) {
+    const auto count = [](std::uint64_t value) { return static_cast<double>(value); };
+    static constexpr std::pair<std::size_t, const char*> kOutcomes[] = {
+        {0, "completed"}, {1, "errored"}, {2, "saturated"}, {3, "overdue"},
+        {4, "refused"},   {5, "severed"}, {6, "recalled"},  {7, "superseded"}};
+    text.counter("cobaltshift_requests_total", "taken from clients", count(m.arrived));
+    text.counter("cobaltshift_attempts_total", "handed to servers", count(m.sent));
+    text.family("cobaltshift_attempts_ended_total", MetricsText::Kind::counter, "by outcome");
+    for (const auto& [at, name] : kOutcomes) text.sample(count(m.outcomes[at]), {{"outcome", name}});
+    text.family("cobaltshift_given_up_total", MetricsText::Kind::counter, "refused or failed, by hindrance");
+    text.sample(count(m.by_room), {{"hindrance", "room"}});
+    text.sample(count(m.by_fit), {{"hindrance", "fit"}});
+    text.sample(count(m.by_cold), {{"hindrance", "cold"}});
+    text.sample(count(m.by_none), {{"hindrance", "none"}});
+    text.sample(count(m.by_end), {{"hindrance", "end"}});
+    text.counter("cobaltshift_connections_opened_total", "to servers", count(s.opened));
+    text.counter("cobaltshift_probes_total", "of the decision module", count(m.probes));
+    text.family("cobaltshift_servers", MetricsText::Kind::gauge, "as this sidecar sees them");
+    text.sample(static_cast<double>(m.listed), {{"state", "listed"}});
+    text.sample(static_cast<double>(m.cold), {{"state", "cold"}});
+    text.sample(static_cast<double>(m.removed), {{"state", "removed"}});
+    text.gauge("cobaltshift_room", "attempts out that admission lets be", m.room);
+}
+
 }  // namespace cobaltshift
--- a/src/net/tally.hpp
+++ b/src/net/tally.hpp
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "metrics/text.hpp"
 #include "module.hpp"
 #include "net/upstream.hpp"
 
@@ -11,5 +12,7 @@
 
 // `name=value` words, 200 characters at most; counts since the start.
 std::string tally_line(const kelplb::Balancer::Tally& module, const Upstream::Counts& sockets);
+// The same as metrics.
+void tally_metrics(const kelplb::Balancer::Tally& module, const Upstream::Counts& sockets, MetricsText& text);
 
 }  // namespace cobaltshift
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "net/log.hpp"
+#include "log/log.hpp"
 
 namespace cobaltshift {
 
@@ -232,7 +232,7 @@
             parse(link);
         } catch (const std::exception& error) {
             // Of one answer: what goes wrong with it must not touch the others.
-            log_line(std::string("an answer failed: ") + error.what());
+            log_line("upstream.failed", std::string("an answer failed: ") + error.what());
             if (link->job) end(link, Outcome::severed, nullptr, false);
         }
     });
--- a/src/plan_io/planner_node.cpp
+++ b/src/plan_io/planner_node.cpp
@@ -2,8 +2,8 @@
 
 #include <set>
 
+#include "log/log.hpp"
 #include "names.hpp"
-#include "net/log.hpp"
 
 namespace cobaltshift::plan {
 
@@ -38,7 +38,7 @@
     if (settings_.state_folder.empty()) return {};
     std::string why;
     state_ = load_state(settings_.state_folder, why);
-    if (!why.empty()) log_line("starts without its former state: " + why);
+    if (!why.empty()) log_line("planner.state", "starts without its former state: " + why, {{"why", why}});
     return state_ ? state_->id : PlanId{};
 }
 
@@ -99,7 +99,8 @@
     if (settings_.state_folder.empty() || (!always && now < kept_at_ + kKeepEvery)) return;
     kept_at_ = now;
     std::string why;
-    if (!save_state(settings_.state_folder, {planner_.id(), planner_.removed_lives()}, why)) log_line(why);
+    if (!save_state(settings_.state_folder, {planner_.id(), planner_.removed_lives()}, why))
+        log_line("planner.state", why);
 }
 
 void PlannerNode::stop() {
--- a/src/plan_io/server.cpp
+++ b/src/plan_io/server.cpp
@@ -3,7 +3,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <charconv>
 
-#include "net/log.hpp"
+#include "log/log.hpp"
 #include "plan/codec.hpp"
 
 namespace cobaltshift::plan {
--- a/src/probing_io/shared_probing.cpp
+++ b/src/probing_io/shared_probing.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "lease_io/clock.hpp"
-#include "net/log.hpp"
 
 namespace cobaltshift::probing {
 
@@ -65,6 +64,35 @@
            std::to_string(known.unknown) + " unknown";
 }
 
+void SharedProbing::metrics(MetricsText& m) const {
+    const auto count = [](auto value) { return static_cast<double>(value); };
+    std::size_t held = 0;
+    for (std::uint32_t shard = 0; shard < settings_.core.shards; ++shard) held += prober_.holds(shard);
+    m.gauge("cobaltshift_probing_shards", "held by this sidecar", count(held));
+    const Prober::Known known = prober_.known(own_clock());
+    m.family("cobaltshift_probing_servers", MetricsText::Kind::gauge, "by the fleet's verdict");
+    m.sample(count(known.good), {{"verdict", "good"}});
+    m.sample(count(known.bad), {{"verdict", "bad"}});
+    m.sample(count(known.unknown), {{"verdict", "unknown"}});
+    const Prober::Counts& c = prober_.counts();
+    m.family("cobaltshift_probing_events_total", MetricsText::Kind::counter, "by kind");
+    m.sample(count(c.probes), {{"kind", "probe"}});
+    m.sample(count(c.failed), {{"kind", "failed"}});
+    m.sample(count(c.gained), {{"kind", "shard_gained"}});
+    m.sample(count(c.lost), {{"kind", "shard_lost"}});
+    m.sample(count(c.told), {{"kind", "told"}});
+    m.sample(count(c.heard), {{"kind", "heard"}});
+    m.sample(count(c.refused), {{"kind", "refused"}});
+    const lease::Holder::Counts& rights = rights_.counts();
+    m.family("cobaltshift_rights_events_total", MetricsText::Kind::counter, "of this process, by kind");
+    m.sample(count(rights.questions), {{"kind", "question"}});
+    m.sample(count(rights.unanswered), {{"kind", "unanswered"}});
+    m.sample(count(rights.gained), {{"kind", "gained"}});
+    m.sample(count(rights.renewed), {{"kind", "renewed"}});
+    m.sample(count(rights.lost), {{"kind", "lost"}});
+    m.sample(count(rights.ended), {{"kind", "ended"}});
+}
+
 void SharedProbing::look() {
     std::vector<ServerId> servers;
     for (const ServerInfo& info : sidecar_.listed())
--- a/src/probing_io/shared_probing.hpp
+++ b/src/probing_io/shared_probing.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "lease_io/rights.hpp"
+#include "metrics/text.hpp"
 #include "net/sidecar.hpp"
 #include "probing/prober.hpp"
 #include "probing_io/settings.hpp"
@@ -27,6 +28,7 @@
     // Gives its rights back; at the planned stop.
     void stop();
     std::string tally() const;  // a line for the log
+    void metrics(MetricsText& text) const;
 
 private:
     void turn();
--- a/src/settings_file/settings_file.cpp
+++ b/src/settings_file/settings_file.cpp
@@ -72,7 +72,16 @@
     shares.done();
     Section log = root.section("log");
     log.number("tally_s", settings.shares.tally_seconds, 0, 3600);
+    std::string format = "text";
+    log.text("format", format);
+    if (format != "text" && format != "json") log.wrong("format", "is neither text nor json");
+    settings.log = format == "json" ? LogFormat::json : LogFormat::text;
     log.done();
+    if (root.has("metrics")) {
+        Section metrics = root.section("metrics");
+        metrics.need("listen"), metrics.endpoint("listen", settings.metrics.emplace());
+        metrics.done();
+    }
     Section plan = root.section("plan");
     plan.endpoints("planners", settings.plan.planners, plan::kMaxPlanners);
     plan.number("report_ms", settings.plan.report, 100, 60000);
--- a/src/settings_file/settings_file.hpp
+++ b/src/settings_file/settings_file.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "lease_io/settings.hpp"
+#include "log/log.hpp"
 #include "net/shares.hpp"
 #include "plan_io/settings.hpp"
 #include "probing_io/settings.hpp"
@@ -15,6 +16,8 @@
 
 struct ProgramSettings {
     Shares shares;
+    LogFormat log = LogFormat::text;
+    std::optional<boost::asio::ip::tcp::endpoint> metrics;  // where they are fetched; none: nowhere
     plan::ClientSettings plan;
     std::optional<plan::ServerSettings> planner;  // given: this file can start a planner
     lease::KeepersSettings keepers;               // none: no rights can be asked for
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -4,7 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "lab/scripted.hpp"
-#include "net/log.hpp"
+#include "log/log.hpp"
 #include "net/node.hpp"
 
 namespace cobaltshift {
@@ -28,7 +28,7 @@
             try {
                 node_.reload({});
             } catch (const ConfigError& error) {
-                log_line(error.what());  // as the program does
+                log_line("handler.failed", error.what());  // as the program does
             }
         });
     }
--- a/tests/packages.sh
+++ b/tests/packages.sh
@@ -16,6 +16,7 @@
 want /usr/include/xxhash.h libxxhash-dev
 want /usr/include/protozero/pbf_reader.hpp libprotozero-dev
 want /usr/include/sqlite3.h libsqlite3-dev
+want /usr/include/spdlog/spdlog.h libspdlog-dev
 case "${1:-build}" in test | check) want /usr/include/gtest/gtest.h libgtest-dev ;; esac
 case "${1:-build}" in check)
     want clang-format-14 clang-format-14
