Notes left under a right: none by whose right is over, none lost, none twice

The loss of a site and the copies need a few bytes that outlive their holder and are guarded as the right is. A task's holder leaves a line (lease note, Holder::leave_note); it is an operation in the keepers' log under the fence, so keepers are a target that checks. The next holder gets it with the grant (COBALTSHIFT_NOTE). Its question's number is kept with it: one that comes late, or at a new leader, does not put an older note back. Lists and 'lost' to a note are told after a majority's word only: before, a leader that had been replaced could tell what was stale.

Found by the command's test: CLI11 reads a word like [ x ] as a list, so that lease run changed its command's words; those behind -- are marked now.

--- a/src/lab/lease_fleet.cpp
+++ b/src/lab/lease_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <charconv>
@@ -12,6 +13,7 @@
 #include "lab/fleet.hpp"
 #include "lab/planner_children.hpp"
 #include "lab/scenario.hpp"
+#include "lease/codec.hpp"
 
 namespace cobaltshift::lab {
 
@@ -23,6 +25,8 @@
 constexpr Millis kExplained = 1000, kGoesOnFirst = 40;
 // Later than this, and who is to end a command in time may have been late by as much.
 constexpr Millis kStall = 100;
+constexpr std::size_t kNotesEvery = 3, kMostAsked = 100;  // looks; questions not answered yet
+constexpr std::chrono::milliseconds kNotePause{80};
 
 std::vector<pid_t> children_of(pid_t pid) {
     std::ifstream file("/proc/" + std::to_string(pid) + "/task/" + std::to_string(pid) + "/children");
@@ -50,6 +54,7 @@
         keepers_[k].line = std::make_unique<lease::Line>(
             io, keepers_[k].at, secret_, lease::Role::client, 1 << 20, 1 << 16, options.seed + k,
             [this, k](lease::FrameKind kind, std::string_view payload) {
+                if (kind == lease::FrameKind::answer) return read(payload);
                 if (kind != lease::FrameKind::report) return;
                 keepers_[k].status = nlohmann::json::parse(payload, nullptr, false);
                 keepers_[k].status_at = clock_.now();
@@ -221,9 +226,10 @@
     if (lots_.chance(0.3))
         words.insert(words.end(),
                      {"--next", "machine-" + std::to_string((m + options_.tasks) % machines_.size())});
-    words.insert(words.end(), {"--", beside("cobaltshift-lab"), "act", at.str(), "--machine",
-                               std::to_string(m), "--every", std::to_string(options_.act_every), "--for",
-                               std::to_string(static_cast<long>(lots_.between(1000, 8000)))});
+    words.insert(words.end(),
+                 {"--", beside("cobaltshift-lab"), "act", at.str(), "--machine", std::to_string(m),
+                  "--settings", machine.settings, "--every", std::to_string(options_.act_every), "--for",
+                  std::to_string(static_cast<long>(lots_.between(1000, 8000)))});
     machine.child = std::make_unique<Child>(io_, Child::Command{beside("cobaltshift"), words, {}}, nullptr);
     machine.stopped = false;
 }
@@ -279,6 +285,7 @@
     }
     for (Keeper& keeper : keepers_)
         if (keeper.child && !keeper.stopped) keeper.line->send(lease::FrameKind::order, R"({"do":"status"})");
+    if (options_.tasks > 0 && ++looks_ % kNotesEvery == 0) ask_notes();
     look_due_ = clock_.now() + kLookEvery;
     look_.expires_after(std::chrono::milliseconds(static_cast<long>(kLookEvery)));
     look_.async_wait([this](error_code ec) {
@@ -316,7 +323,52 @@
     });
 }
 
-// TASK FENCE MACHINE, in words.
+// A number that was read, raised by one and left under a right: that it is left twice means that a note was
+// lost, or left by whose right was over.
+void LeaseFleet::noted(std::size_t task, std::uint64_t fence, std::size_t machine, std::uint64_t value) {
+    const auto [at, fresh] = notes_[task].try_emplace(value, fence, machine);
+    if (fresh) {
+        ++record_.notes;
+        return;
+    }
+    ++record_.unexplained;
+    record_.found.push_back("task-" + std::to_string(task) + ": " + std::to_string(value) + " left under " +
+                            std::to_string(fence) + " as before under " + std::to_string(at->second.first));
+}
+
+// A read that began after a note was told as left shows it, or a later one.
+void LeaseFleet::ask_notes() {
+    lease::Question q;
+    q.kind = lease::Question::Kind::list;
+    q.holder = 1, q.number = ++question_;
+    q.name = "lab", q.task = "task-";
+    for (const auto& [task, values] : notes_) asked_[question_][task] = values.rbegin()->first;
+    if (asked_.size() > kMostAsked) asked_.erase(asked_.begin());
+    for (Keeper& keeper : keepers_) keeper.line->send(lease::FrameKind::question, lease::encode(q));
+}
+
+void LeaseFleet::read(std::string_view payload) {
+    std::string why;
+    const auto answer = lease::decode_answer(payload, why);
+    if (!answer || answer->kind != lease::Answer::Kind::listed) return;
+    const auto asked = asked_.find(answer->number);
+    if (asked == asked_.end()) return;
+    ++record_.reads;
+    std::map<std::string, std::uint64_t> left;
+    std::istringstream lines(answer->text);
+    for (std::string line; std::getline(lines, line);)
+        left[line.substr(0, line.find('\t'))] =
+            std::strtoull(line.c_str() + line.rfind('\t') + 1, nullptr, 10);
+    for (const auto& [task, value] : asked->second)
+        if (const std::uint64_t is = left["task-" + std::to_string(task)]; is < value) {
+            ++record_.unexplained;
+            record_.found.push_back("task-" + std::to_string(task) + ": reads " + std::to_string(is) +
+                                    " after " + std::to_string(value) + " was told as left");
+        }
+    asked_.erase(asked_.begin(), std::next(asked));
+}
+
+// TASK FENCE MACHINE, in words; and the number that was left, where it is a note's.
 void LeaseFleet::acted(const std::string& text) {
     std::istringstream words(text);
     std::string name;
@@ -329,6 +381,7 @@
         ++record_.bad;
         return;
     }
+    if (std::uint64_t value = 0; words >> value) return noted(task, fence, machine, value);
     const Millis now = clock_.now();
     const bool stale = fence < highest_[task];  // by the record; the gate is asked apart from it
     if (const bool passed = gate_.admit(name, fence); passed == stale) {
@@ -356,6 +409,16 @@
     last_machine_[task] = machine;
 }
 
+pid_t Acting::leave_note(const std::string& task, std::uint64_t value) const {
+    const std::string program = beside("cobaltshift"), number = std::to_string(value);
+    const pid_t child = ::fork();
+    if (child != 0) return child;
+    // The fence is in its environment.
+    ::execl(program.c_str(), program.c_str(), "lease", "note", task.c_str(), number.c_str(), "--settings",
+            settings.c_str(), "--within", "1s", nullptr);
+    ::_exit(127);
+}
+
 int Acting::run() const {
     const char *task = std::getenv("COBALTSHIFT_TASK"), *fence = std::getenv("COBALTSHIFT_FENCE");
     const auto colon = target.rfind(':');
@@ -365,10 +428,29 @@
     const asio::ip::udp::endpoint to(asio::ip::make_address(target.substr(0, colon)),
                                      static_cast<unsigned short>(std::stoi(target.substr(colon + 1))));
     const std::string act = std::string(task) + " " + fence + " " + std::to_string(machine);
+    const char* before = std::getenv("COBALTSHIFT_NOTE");
+    std::uint64_t value = before ? std::strtoull(before, nullptr, 10) + 1 : 1;
+    pid_t noting = -1;
+    bool noting_on = !settings.empty();
+    auto noting_at = std::chrono::steady_clock::now();
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<long>(length));
     while (length == 0 || std::chrono::steady_clock::now() < end) {
         error_code ignored;
         socket.send_to(asio::buffer(act), to, 0, ignored);
+        int status = 0;
+        if (noting > 0 && ::waitpid(noting, &status, WNOHANG) == noting) {
+            const int code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+            noting = -1;
+            if (code == 0) {
+                const std::string left = act + " " + std::to_string(value++);
+                socket.send_to(asio::buffer(left), to, 0, ignored);
+            }
+            // Not answered: nobody knows; the same again. Not for ever at once, as each is a process.
+            noting_on = code == 0 || code == 1;
+            noting_at = std::chrono::steady_clock::now() + kNotePause;
+        }
+        if (noting < 0 && noting_on && std::chrono::steady_clock::now() >= noting_at)
+            noting = leave_note(task, value);
         ::usleep(static_cast<useconds_t>(every * 1000));
     }
     return 0;
--- a/src/lab/lease_fleet.hpp
+++ b/src/lab/lease_fleet.hpp
@@ -76,6 +76,8 @@
         std::uint64_t stalled = 0;
         std::uint64_t holders = 0;  // changes of fence
         std::uint64_t bad = 0;      // datagrams that are no acts
+        std::uint64_t notes = 0;    // told as left, each once
+        std::uint64_t reads = 0;    // of all notes at the keepers, none older than what had been told before
         Millis longest_gap = 0;     // of any task between two acts that were let pass
         std::vector<std::string> found;
     };
@@ -105,6 +107,9 @@
     void look();
     void receive();
     void acted(const std::string& text);
+    void ask_notes();
+    void read(std::string_view payload);
+    void noted(std::size_t task, std::uint64_t fence, std::size_t machine, std::uint64_t value);
 
     asio::io_context& io_;
     const Clock& clock_;
@@ -123,6 +128,10 @@
     std::map<std::size_t, std::uint64_t> highest_;
     std::map<std::size_t, Millis> last_act_;
     std::map<std::size_t, std::size_t> last_machine_;
+    std::map<std::size_t, std::map<std::uint64_t, std::pair<std::uint64_t, std::size_t>>> notes_;
+    // By number of question: what had been told as left by the time it was asked.
+    std::map<std::uint64_t, std::map<std::size_t, std::uint64_t>> asked_;
+    std::uint64_t question_ = 0, looks_ = 0;
     std::map<int, std::uint64_t> ends_;
     Record record_;
     std::list<asio::steady_timer> timers_;
@@ -132,12 +141,17 @@
 };
 
 // `cobaltshift-lab act`: acts on a target every so often, under the right in its environment, until it is
-// ended.
+// ended. Meanwhile it adds one to the number in the task's note, again and again, and tells the target of
+// each that a keeper has said is left.
 struct Acting {
     std::string target;
     std::size_t machine = 0;
     Millis every = 5, length = 0;  // 0: for ever
+    std::string settings;          // empty: no notes
     int run() const;
+
+private:
+    pid_t leave_note(const std::string& task, std::uint64_t value) const;
 };
 
 }  // namespace cobaltshift::lab
--- a/src/lab/lease_world.cpp
+++ b/src/lab/lease_world.cpp
@@ -25,11 +25,11 @@
         if (const auto at = p.figures.find("longest without a holder"); at != p.figures.end())
             longest = std::max(longest, at->second);
     }
-    result.columns(
-        {"days", "acts", "stale acts refused", "rights gained", "leaders", "new lives", "spoilt folders"});
+    result.columns({"days", "acts", "stale acts refused", "notes left", "rights gained", "leaders",
+                    "new lives", "spoilt folders"});
     result.row({std::to_string(seeds), shown(sums["acts"]), shown(sums["stale acts refused"]),
-                shown(sums["rights gained"]), shown(sums["leaders"]), shown(sums["new lives"]),
-                shown(sums["spoilt folders"])});
+                shown(sums["notes left"]), shown(sums["rights gained"]), shown(sums["leaders"]),
+                shown(sums["new lives"]), shown(sums["spoilt folders"])});
     for (const auto& [name, value] : sums)
         if (name.starts_with("struck: ")) result.note(name.substr(8) + ": " + shown(value));
     result.note("digest " + std::to_string(digest));
@@ -42,8 +42,8 @@
                              "keeper stopped", "holder stopped", "holder down", "slow disk", "lease-lossy",
                              "answers-lost", "keeper-cut", "lease-split"})
         result.at_least(std::string("struck: ") + what, sums[std::string("struck: ") + what], least);
-    for (const char* what :
-         {"deaths in a write", "torn tails", "new lives", "stale acts refused", "acts sent after a stop"})
+    for (const char* what : {"deaths in a write", "torn tails", "new lives", "stale acts refused",
+                             "acts sent after a stop", "notes left"})
         result.at_least(what, sums[what], least);
     return result;
 }
--- a/src/lab/leases.cpp
+++ b/src/lab/leases.cpp
@@ -327,20 +327,23 @@
     const auto& record = fleet.record();
     const auto& links = fleet.links().counts();
     Result result;
-    result.columns({"acts", "stale, refused", "holders", "frames", "lost", "doubled", "swapped", "resets",
-                    "longest gap s"});
-    result.row({std::to_string(record.acts), std::to_string(record.refused), std::to_string(record.holders),
-                std::to_string(links.frames), std::to_string(links.lost), std::to_string(links.doubled),
-                std::to_string(links.swapped), std::to_string(links.resets),
+    result.columns({"acts", "stale, refused", "notes", "holders", "frames", "lost", "doubled", "swapped",
+                    "resets", "longest gap s"});
+    result.row({std::to_string(record.acts), std::to_string(record.refused), std::to_string(record.notes),
+                std::to_string(record.holders), std::to_string(links.frames), std::to_string(links.lost),
+                std::to_string(links.doubled), std::to_string(links.swapped), std::to_string(links.resets),
                 shown(record.longest_gap / 1000, 1)});
     for (const auto& [code, count] : fleet.ends())
         result.note("`lease run` ended with " + std::to_string(code) + ": " + std::to_string(count));
     for (const std::string& what : odd) result.note(what);
     for (const std::string& what : record.found) result.note("found: " + what);
+    result.at_least("notes left", static_cast<double>(record.notes), run.quick ? 100 : 1000);
+    result.at_least("reads of all notes, none older than what was told", static_cast<double>(record.reads),
+                    run.quick ? 50 : 500);
     result.figure("stale acts, refused, beside a stall of this machine", static_cast<double>(record.stalled));
     result.figure("ms until somebody led, after all was healed", led_after);
     result.figure("ms until every task was acted on, after all was healed", held_after);
-    result.at_most("acts of two holders at once, or out of order, that no stop explains",
+    result.at_most("acts or notes of two holders at once, or out of order, that no stop explains",
                    static_cast<double>(record.unexplained), 0);
     result.at_least("stale acts refused by the gate", static_cast<double>(record.refused),
                     run.quick ? 10 : 50);
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -148,6 +148,7 @@
     CLI::App* acted = app.add_subcommand("act", "acts on a target under the right in its environment");
     acted->add_option("TARGET", acting.target, "address:port in numbers, for datagrams")->required();
     acted->add_option("--machine", acting.machine);
+    acted->add_option("--settings", acting.settings, "of the keepers: it counts in the task's note as well");
     acted->add_option("--every", acting.every, "ms")->check(CLI::Range(0.1, 60000.0));
     acted->add_option("--for", acting.length, "ms; 0: until it is ended")->check(CLI::Range(0.0, 1e9));
     for (const Scenario& scenario : scenarios()) options(app.add_subcommand(scenario.name, scenario.about));
--- a/src/lease/book.cpp
+++ b/src/lease/book.cpp
@@ -14,8 +14,29 @@
     return at == tasks_.end() ? nullptr : &at->second;
 }
 
+std::string Book::note(std::string_view task) const {
+    const auto at = notes_.find(task);
+    return at == notes_.end() ? std::string() : at->second.text;
+}
+
+Book::Effect Book::note(const Op& op) {
+    const auto task = tasks_.find(op.task);
+    if (task == tasks_.end() || task->second.fence != op.fence) return {};
+    const auto at = notes_.find(op.task);
+    if (at == notes_.end() && notes_.size() >= kMaxNotes) return {Outcome::full, 0, 0};
+    Note& note = notes_[op.task];
+    if (note.fence == op.fence && note.holder == op.holder) {
+        if (op.number < note.number) return {};
+        if (op.number == note.number) return {Outcome::noted, 0, op.fence};  // the same one, asked again
+    }
+    note = {op.text, op.fence, op.holder, op.number};
+    return {Outcome::noted, 0, op.fence};
+}
+
 Book::Effect Book::grant_next(std::map<std::string, Task, std::less<>>::iterator at) {
     Task& task = at->second;
+    if (const auto note = notes_.find(at->first); note != notes_.end() && note->second.text.empty())
+        notes_.erase(note);
     if (task.queue.empty()) {
         tasks_.erase(at);
         return {Outcome::ended, 0, 0};
@@ -79,6 +100,8 @@
             waiters_ -=
                 std::erase_if(at->second.queue, [&](const Waiter& w) { return w.holder == op.holder; });
             return {Outcome::ended, 0, 0};
+        case Op::Kind::note:
+            return note(op);
     }
     return {};
 }
@@ -104,6 +127,14 @@
             q.add_double(3, waiter.length);
         }
     }
+    for (const auto& [name, note] : notes_) {
+        pbf_writer n(w, 4);
+        n.add_bytes(1, name);
+        n.add_bytes(2, note.text);
+        n.add_uint64(3, note.fence);
+        n.add_uint64(4, note.holder);
+        n.add_uint64(5, note.number);
+    }
     return bytes;
 }
 
@@ -168,6 +199,32 @@
                     tasks_[name] = std::move(task);
                     break;
                 }
+                case 4: {
+                    std::string name;
+                    Note note;
+                    Fields n(all.bytes("note", 2048));
+                    while (n.next()) switch (n.tag()) {
+                            case 1:
+                                name = n.text("task name", kMaxName);
+                                break;
+                            case 2:
+                                note.text = n.text("note", kMaxNote);
+                                break;
+                            case 3:
+                                note.fence = n.number("fence");
+                                break;
+                            case 4:
+                                note.holder = n.number("holder");
+                                break;
+                            case 5:
+                                note.number = n.number("number");
+                                break;
+                            default:
+                                n.skip();
+                        }
+                    notes_[name] = std::move(note);
+                    break;
+                }
                 default:
                     all.skip();
             }
--- a/src/lease/codec.cpp
+++ b/src/lease/codec.cpp
@@ -57,6 +57,7 @@
     w.add_double(8, q.length);
     w.add_bool(9, q.wait);
     words(w, 10, q.next);
+    words(w, 11, q.text);
     return store::sealed(std::move(bytes));
 }
 
@@ -65,7 +66,7 @@
         switch (f.tag()) {
             case 2:
                 q.kind = static_cast<Question::Kind>(
-                    f.number("kind", static_cast<std::uint64_t>(Question::Kind::list)));
+                    f.number("kind", static_cast<std::uint64_t>(Question::Kind::note)));
                 return true;
             case 3:
                 q.holder = f.number("holder");
@@ -91,10 +92,15 @@
             case 10:
                 q.next = f.text("next", kMaxName);
                 return true;
+            case 11:
+                q.text = f.text("text", kMaxNote);
+                return true;
             default:
                 return false;
         }
     });
+    if (question && !fit_for_a_note(question->text))
+        return why = "its text has control characters", std::nullopt;
     if (question && question->holder == 0) return why = "it is nobody's", std::nullopt;
     if (question && question->task.empty() && question->kind != Question::Kind::list)
         return why = "the task is missing", std::nullopt;
@@ -165,6 +171,8 @@
     w.add_double(6, op.length);
     w.add_bool(7, op.wait);
     words(w, 8, op.next);
+    words(w, 9, op.text);
+    if (op.number != 0) w.add_uint64(10, op.number);
     return bytes;
 }
 
@@ -174,8 +182,8 @@
         Fields f(bytes);
         while (f.next()) switch (f.tag()) {
                 case 1:
-                    op.kind = static_cast<Op::Kind>(
-                        f.number("kind", static_cast<std::uint64_t>(Op::Kind::withdraw)));
+                    op.kind =
+                        static_cast<Op::Kind>(f.number("kind", static_cast<std::uint64_t>(Op::Kind::note)));
                     break;
                 case 2:
                     op.task = f.text("task", kMaxName);
@@ -198,6 +206,12 @@
                 case 8:
                     op.next = f.text("next", kMaxName);
                     break;
+                case 9:
+                    op.text = f.text("text", kMaxNote);
+                    break;
+                case 10:
+                    op.number = f.number("number");
+                    break;
                 default:
                     f.skip();
             }
--- a/src/lease/holder.cpp
+++ b/src/lease/holder.cpp
@@ -39,8 +39,70 @@
     if (one.right.fence != 0 || !one.outstanding) one.due = now;
 }
 
+bool Holder::leave_note(Millis now, const std::string& task, const std::string& text) {
+    const auto held = right(now, task);
+    if (!held || !fit_for_a_note(text)) return false;
+    notes_[task] = {Note::on_its_way, held->fence, text, 0, now};
+    return true;
+}
+
+Holder::Note Holder::note_state(const std::string& task) const {
+    const auto at = notes_.find(task);
+    return at == notes_.end() ? Note::none : at->second.state;
+}
+
+std::string Holder::note(const std::string& task) const {
+    const auto at = wanted_.find(task);
+    return at == wanted_.end() ? std::string() : at->second.note;
+}
+
+void Holder::tick_note(Millis now, const std::string& task, Noting& noting) {
+    if (noting.state != Note::on_its_way || now < noting.due) return;
+    const auto held = right(now, task);
+    if (!held || held->fence != noting.fence) {
+        noting.state = Note::not_left;
+        return;
+    }
+    if (noting.number != 0) {  // unanswered
+        ++counts_.unanswered;
+        keeper_ = (keeper_ + 1) % std::max(1U, settings_.keepers);
+    }
+    Question q;
+    q.kind = Question::Kind::note;
+    q.holder = settings_.id;
+    q.number = noting.number = next_number_++;
+    q.name = settings_.name;
+    q.task = task;
+    q.fence = noting.fence;
+    q.text = noting.text;
+    noting.due = now + settings_.answer * (1 + kSpread * (2 * lots_.unit() - 1));
+    ++counts_.questions;
+    out_.push_back({keeper_, std::move(q)});
+}
+
+void Holder::heard_note(Millis now, const Answer& a, Noting& noting) {
+    switch (a.kind) {
+        case Answer::Kind::elsewhere:
+            if (a.place < settings_.keepers) keeper_ = a.place;
+            noting.number = 0;
+            noting.due = now + kFirstPause * lots_.unit();
+            return;
+        case Answer::Kind::done: {
+            noting.state = Note::left;
+            ++counts_.noted;
+            const auto at = wanted_.find(a.task);
+            if (at != wanted_.end()) at->second.note = noting.text;
+            return;
+        }
+        default:
+            noting.state = Note::not_left;
+    }
+}
+
 Millis Holder::due() const {
     Millis due = 1e18;
+    for (const auto& [task, noting] : notes_)
+        if (noting.state == Note::on_its_way) due = std::min(due, noting.due);
     for (const auto& [task, one] : wanted_) due = std::min(due, one.due);
     return due;
 }
@@ -64,6 +126,7 @@
 }
 
 void Holder::tick(Millis now) {
+    for (auto& [task, noting] : notes_) tick_note(now, task, noting);
     for (auto at = wanted_.begin(); at != wanted_.end();) {
         Wanted& one = at->second;
         if (!one.releasing && one.right.fence != 0 && one.right.until <= now && one.right.until >= 0) {
@@ -97,6 +160,10 @@
 }
 
 void Holder::heard(Millis now, const Answer& a) {
+    if (const auto noting = notes_.find(a.task); a.holder == settings_.id && noting != notes_.end() &&
+                                                 a.number == noting->second.number && a.number != 0 &&
+                                                 noting->second.state == Note::on_its_way)
+        return heard_note(now, a, noting->second);
     const auto at = wanted_.find(a.task);
     if (a.holder != settings_.id || at == wanted_.end() || a.number != at->second.number) return;
     Wanted& one = at->second;
@@ -125,6 +192,8 @@
                 return;
             }
             if (one.right.fence != a.fence) one.counted = false;
+            // What is on its way, or was left since the question was sent, is newer than the answer's.
+            if (one.right.fence != a.fence) one.note = a.text, notes_.erase(a.task);
             one.right.fence = a.fence;
             one.right.until = one.asked_at + a.length - settings_.margin;
             if (one.right.until <= now) one.right = {};
--- a/src/lease/holder.hpp
+++ b/src/lease/holder.hpp
@@ -4,7 +4,8 @@
 //
 // Invariants: a right counts from when the question was handed out that its answer belongs to, never from
 // when the answer came; an answer to any other question than the newest about the task changes nothing; what
-// is given up is not acted upon from that moment on, whatever becomes of the message that says so.
+// is given up is not acted upon from that moment on, whatever becomes of the message that says so. A note is
+// known to be left only once a keeper has said so; until then it may have been, or not.
 #pragma once
 
 #include <map>
@@ -49,6 +50,14 @@
     // Not acted upon from now on. `next`: who of those who wait is to have it.
     void give_up(Millis now, const std::string& task, const std::string& next = "");
 
+    // Leaves `text` (fit_for_a_note()) for the task, under the right held now; asked again until it is
+    // answered or the right is over. A later one takes the place of one still on its way. False: no right.
+    bool leave_note(Millis now, const std::string& task, const std::string& text);
+    enum class Note { none, on_its_way, left, not_left };  // of the last one; not_left: nobody may know
+    Note note_state(const std::string& task) const;
+    // What is left for the task, as far as is known: as given with the right, or by this holder since.
+    std::string note(const std::string& task) const;
+
     void tick(Millis now);
     Millis due() const;
     // Whatever does not belong to the newest question about its task is dropped.
@@ -61,7 +70,7 @@
     const Answer* last(const std::string& task) const;
 
     struct Counts {
-        std::uint64_t questions = 0, unanswered = 0, gained = 0, renewed = 0, lost = 0, ended = 0;
+        std::uint64_t questions = 0, unanswered = 0, gained = 0, renewed = 0, lost = 0, ended = 0, noted = 0;
     };
     const Counts& counts() const { return counts_; }
 
@@ -77,7 +86,17 @@
         Millis asked_at = 0, due = 0, pause = 0, release_until = 0;
         Answer last;
         bool queued = false;
+        std::string note;  // known to be left
+    };
+    struct Noting {
+        Note state = Note::none;
+        Fence fence = 0;
+        std::string text;
+        std::uint64_t number = 0;
+        Millis due = 0;
     };
+    void tick_note(Millis now, const std::string& task, Noting& noting);
+    void heard_note(Millis now, const Answer& answer, Noting& noting);
     void ask(Millis now, const std::string& task, Wanted& one);
 
     HolderSettings settings_;
@@ -85,6 +104,7 @@
     std::uint32_t keeper_;  // believed to lead
     std::uint64_t next_number_ = 1;
     std::map<std::string, Wanted> wanted_;
+    std::map<std::string, Noting> notes_;
     std::vector<Ask> out_;
     Counts counts_;
 };
--- a/src/lease/office.cpp
+++ b/src/lease/office.cpp
@@ -96,9 +96,9 @@
         return say(client, question, answer);
     }
     if (question.kind == Question::Kind::list) {
-        answer.kind = Answer::Kind::listed;
-        answer.text = listed(question.task, now);
-        return say(client, question, answer);
+        if (reads_.size() < settings_.questions && keeper_.confirm(next_question_))
+            reads_[next_question_++] = {client, question};
+        return;
     }
     // Doubled, or late: its holder has asked something newer since.
     auto newest = newest_.find(question.holder);
@@ -139,11 +139,28 @@
                 ending_[{question.task, question.holder}] = {client, question.number};
             return;
         }
+        case Question::Kind::note:
+            if (note(client, question)) return;
+            // Perhaps given by another leader since: only a majority's word tells.
+            if (reads_.size() < settings_.questions && keeper_.confirm(next_question_))
+                reads_[next_question_++] = {client, question};
+            return;
         case Question::Kind::list:
             return;
     }
 }
 
+// False: its fence is not the task's.
+bool Office::note(Client client, const Question& question) {
+    const Book::Task* task = book_.find(question.task);
+    if (!task || task->fence != question.fence) return false;
+    Op op = op_of(Op::Kind::note, question.task, question.holder, question.fence);
+    op.text = question.text;
+    op.number = question.number;
+    if (propose(std::move(op))) noting_[{question.task, question.holder}] = {client, question.number};
+    return true;
+}
+
 void Office::want(Millis now, Client client, const Question& question) {
     const Book::Task* task = book_.find(question.task);
     Answer answer;
@@ -183,6 +200,18 @@
 
 // The majority's word has come: this keeper led after the question came.
 void Office::confirmed(Millis now, std::uint64_t question) {
+    if (const auto read = reads_.find(question); read != reads_.end()) {
+        const Read one = std::move(read->second);
+        reads_.erase(read);
+        Answer answer;
+        if (one.question.kind == Question::Kind::note) {
+            if (note(one.client, one.question)) return;
+        } else {
+            answer.kind = Answer::Kind::listed;
+            answer.text = listed(one.question.task, now);
+        }
+        return say(one.client, one.question, answer);
+    }
     const auto at = renewals_.find(question);
     if (at == renewals_.end()) return;
     const Renewal renewal = std::move(at->second);
@@ -202,6 +231,7 @@
         set_until(renewal.task, held->second, now + wait_for(task->length, settings_.drift));
         answer.kind = Answer::Kind::held;
         answer.length = task->length;
+        answer.text = book_.note(renewal.task);
         ++counts_.renewals;
     }
     say(renewal.client, q, answer);
@@ -253,6 +283,7 @@
             answer.kind = Answer::Kind::held;
             answer.fence = effect.fence;
             answer.length = task->length;
+            answer.text = book_.note(op->task);
             if (q.number != 0) say(asker->second.asker.client, q, answer);
             asking_.erase(asker);
         }
@@ -282,18 +313,22 @@
         }
         return say(client, q, answer);
     }
-    if (op->kind == Op::Kind::release || op->kind == Op::Kind::revoke) {
-        const auto asker = ending_.find({op->task, op->holder});
-        if (asker == ending_.end()) return;
-        q.holder = op->holder;
-        q.number = asker->second.number;
-        answer = {};
-        answer.kind = Answer::Kind::done;
-        answer.fence = op->fence;
-        const Client client = asker->second.client;
-        ending_.erase(asker);
-        say(client, q, answer);
-    }
+    const bool notes = op->kind == Op::Kind::note;
+    if (!notes && op->kind != Op::Kind::release && op->kind != Op::Kind::revoke) return;
+    auto& askers = notes ? noting_ : ending_;
+    const auto asker = askers.find({op->task, op->holder});
+    if (asker == askers.end()) return;
+    q.holder = op->holder;
+    q.number = asker->second.number;
+    answer = {};
+    answer.kind = Answer::Kind::done;
+    if (notes && effect.outcome != Book::Outcome::noted)
+        answer.kind = effect.outcome == Book::Outcome::full ? Answer::Kind::full : Answer::Kind::lost;
+    counts_.notes += effect.outcome == Book::Outcome::noted;
+    answer.fence = op->fence;
+    const Client client = asker->second.client;
+    askers.erase(asker);
+    say(client, q, answer);
 }
 
 // All that this leader's predecessors may have confirmed is waited out.
@@ -311,7 +346,9 @@
     lapses_.clear();
     asking_.clear();
     ending_.clear();
+    noting_.clear();
     renewals_.clear();
+    reads_.clear();
     newest_.clear();
 }
 
@@ -349,7 +386,13 @@
         const Millis left = held == held_.end() ? 0 : std::max(0.0, held->second.until - now);
         text += at->first + "\t" + at->second.name + "\t" + std::to_string(at->second.fence) + "\t" +
                 std::to_string(static_cast<long long>(left)) + "\t" +
-                std::to_string(at->second.queue.size()) + (at->second.revoked ? "\trevoked\n" : "\theld\n");
+                std::to_string(at->second.queue.size()) + (at->second.revoked ? "\trevoked\t" : "\theld\t") +
+                book_.note(at->first) + "\n";
+    }
+    // What is left though nobody holds the task just now.
+    for (auto at = book_.notes().lower_bound(prefix); at != book_.notes().end(); ++at) {
+        if (!at->first.starts_with(prefix)) break;
+        if (!book_.find(at->first)) text += at->first + "\t\t0\t0\t0\tfree\t" + at->second.text + "\n";
     }
     return text;
 }
--- a/src/lease/office.hpp
+++ b/src/lease/office.hpp
@@ -70,7 +70,8 @@
     static Millis wait_for(Millis length, double drift) { return length * (1 + drift) / (1 - drift); }
 
     struct Counts {
-        std::uint64_t questions = 0, grants = 0, renewals = 0, lapses = 0, elsewhere = 0, dropped = 0;
+        std::uint64_t questions = 0, grants = 0, renewals = 0, lapses = 0, elsewhere = 0, dropped = 0,
+                      notes = 0;
     };
     const Counts& counts() const { return counts_; }
 
@@ -98,6 +99,7 @@
     };
     void say(Client client, const Question& question, Answer answer);
     void want(Millis now, Client client, const Question& question);
+    bool note(Client client, const Question& question);
     bool propose(Op op);
     void withdraw_silent(Millis now, const std::string& task, Millis silence);
     void confirmed(Millis now, std::uint64_t question);
@@ -120,7 +122,13 @@
     std::set<std::pair<Millis, std::string>> lapses_;
     std::map<std::pair<std::string, HolderId>, Heard> asking_;  // whose `want` is in the log or in a queue
     std::map<std::pair<std::string, HolderId>, Asker> ending_;  // whose release or revocation is in the log
+    std::map<std::pair<std::string, HolderId>, Asker> noting_;  // whose note is in the log
     std::map<std::uint64_t, Renewal> renewals_;                 // by number of question to the majority
+    struct Read {
+        Client client;
+        Question question;
+    };
+    std::map<std::uint64_t, Read> reads_;  // lists, by the same: none is told what may be stale
     std::map<HolderId, std::pair<std::uint64_t, Millis>>
         newest_;  // the highest number of each holder, and when
     std::uint64_t next_question_ = 1;
--- a/src/lease_cli.cpp
+++ b/src/lease_cli.cpp
@@ -22,6 +22,8 @@
 
 using nlohmann::json;
 
+const std::string kMark = "\x01";
+
 // 1500ms, 30s, 2m; without a unit: seconds. In milliseconds.
 CLI::Validator duration() {
     return CLI::AsNumberWithUnit(std::map<std::string, double>{{"ms", 1}, {"s", 1000}, {"m", 60000}},
@@ -85,7 +87,7 @@
 }
 
 struct Row {
-    std::string task, holder, fence, left, queue, state;
+    std::string task, holder, fence, left, queue, state, note;
 };
 std::vector<Row> rows(const std::string& text) {
     std::vector<Row> all;
@@ -93,7 +95,8 @@
     for (std::string line; std::getline(lines, line);) {
         std::istringstream fields(line);
         Row row;
-        for (std::string* field : {&row.task, &row.holder, &row.fence, &row.left, &row.queue, &row.state})
+        for (std::string* field :
+             {&row.task, &row.holder, &row.fence, &row.left, &row.queue, &row.state, &row.note})
             std::getline(fields, *field, '\t');
         if (!row.state.empty()) all.push_back(std::move(row));
     }
@@ -145,6 +148,22 @@
     revoke_ = asks(
         lease_->add_subcommand("revoke", "the right to a task is not renewed: it ends within its length"));
     revoke_->add_option("TASK", task_)->required();
+    note_ = asks(lease_->add_subcommand(
+        "note", "leaves a line for whoever has the task next; 76 if the fence is the task's no more"));
+    note_->add_option("TASK", task_)->required();
+    note_->add_option("TEXT", text_, "of 1024 bytes at most; empty: takes it away")->required();
+    note_->add_option("--fence", fence_, "the right's number")->envname("COBALTSHIFT_FENCE")->required();
+}
+
+std::vector<std::string> LeaseCli::words(int argc, const char* const* argv) {
+    std::vector<std::string> all;
+    bool behind = false;
+    for (int i = 1; i < argc; ++i) {
+        all.push_back(behind ? kMark + std::string(argv[i]) : argv[i]);
+        behind = behind || all.back() == "--";
+    }
+    std::reverse(all.begin(), all.end());
+    return all;
 }
 
 void LeaseCli::need_keepers() const {
@@ -170,6 +189,7 @@
     if (run_->parsed()) return run_under_right();
     if (list_->parsed()) return list(false);
     if (show_->parsed()) return list(true);
+    if (note_->parsed()) return note();
     return revoke();
 }
 
@@ -290,15 +310,17 @@
                              {"fence", std::stoull(row.fence)},
                              {"left_ms", std::stoll(row.left)},
                              {"waiting", std::stoull(row.queue)},
-                             {"state", row.state}});
+                             {"state", row.state},
+                             {"note", row.note}});
         std::cout << whole.dump(2) << '\n';
     } else {
-        std::cout
-            << "task                            holder                  fence     left s  waiting  state\n";
+        std::cout << "task                            holder                  fence     left s  waiting  "
+                     "state  note\n";
         for (const Row& row : all)
             std::cout << std::left << std::setw(32) << row.task << std::setw(24) << row.holder
                       << std::setw(10) << row.fence << std::setw(8) << std::fixed << std::setprecision(1)
-                      << std::stod(row.left) / 1000 << std::setw(9) << row.queue << row.state << '\n';
+                      << std::stod(row.left) / 1000 << std::setw(9) << row.queue << std::setw(7) << row.state
+                      << row.note << '\n';
     }
     return exactly_one && all.empty() ? 1 : 0;
 }
@@ -314,8 +336,35 @@
     return 0;
 }
 
+int LeaseCli::note() {
+    if (!lease::fit_for_a_note(text_)) {
+        std::cerr << "cobaltshift: TEXT is over 1024 bytes or has control characters\n";
+        return 2;
+    }
+    lease::Question q = question(lease::Question::Kind::note, task_);
+    q.fence = fence_;
+    q.text = text_;
+    // All who leave notes by this command under one right count in one row, by this machine's clock.
+    q.holder = 1ULL << 63 | fence_;
+    q.number = static_cast<std::uint64_t>(lease::own_clock() * 1000);
+    const auto answer = asked(settings_.keepers, q, within_);
+    if (!answer) return nobody_leads(within_);
+    if (answer->kind == lease::Answer::Kind::full) {
+        std::cerr << "cobaltshift: keepers hold as many notes as they may\n";
+        return 1;
+    }
+    if (answer->kind != lease::Answer::Kind::done) {
+        std::cerr << "cobaltshift: " << task_ << " is not held under " << fence_ << '\n';
+        return lease::RunCommand::kRightEnded;
+    }
+    if (json_) std::cout << json{{"noted", task_}}.dump() << '\n';
+    return 0;
+}
+
 int LeaseCli::run_under_right() {
     command_.wait = !no_wait_;
+    for (std::string& word : command_.words)
+        if (word.starts_with(kMark)) word.erase(0, kMark.size());
     if (command_.length < lease::kShortest || command_.length > lease::kLongest ||
         settings_.keepers.margin > command_.length / 3) {
         std::cerr << "cobaltshift: --length must be between 200ms and 60m, and three times keepers.margin_ms "
--- a/src/lease_io/rights.cpp
+++ b/src/lease_io/rights.cpp
@@ -53,6 +53,12 @@
     turn();
 }
 
+bool Rights::leave_note(const std::string& task, const std::string& text) {
+    const bool taken = holder_.leave_note(own_clock(), task, text);
+    turn();
+    return taken;
+}
+
 std::optional<Holder::Right> Rights::right(const std::string& task) const {
     return holder_.right(own_clock(), task);
 }
--- a/src/lease_io/rights.hpp
+++ b/src/lease_io/rights.hpp
@@ -31,6 +31,10 @@
     std::optional<Holder::Right> right(const std::string& task) const;
     Holder::State state(const std::string& task) const { return holder_.state(task); }
     const Answer* last(const std::string& task) const { return holder_.last(task); }
+    // As lease::Holder has them.
+    bool leave_note(const std::string& task, const std::string& text);
+    Holder::Note note_state(const std::string& task) const { return holder_.note_state(task); }
+    std::string note(const std::string& task) const { return holder_.note(task); }
     // Called after anything may have changed: an answer came, a right ended, a question went unanswered.
     void on_turn(std::function<void()> told) { told_ = std::move(told); }
     const Holder::Counts& counts() const { return holder_.counts(); }
--- a/src/lease_io/run_command.cpp
+++ b/src/lease_io/run_command.cpp
@@ -130,7 +130,7 @@
         std::vector<char*> argv;
         for (std::string& word : command_.words) argv.push_back(word.data());
         argv.push_back(nullptr);
-        const std::string fence = std::to_string(fence_);
+        const std::string fence = std::to_string(fence_), note = rights_.note(command_.task);
         const pid_t self = ::getpid();
         io_.notify_fork(asio::io_context::fork_prepare);
         child_ = ::fork();
@@ -140,6 +140,7 @@
             if (::getppid() != self) ::_exit(RunCommand::kCantStart);
             ::setenv("COBALTSHIFT_TASK", command_.task.c_str(), 1);
             ::setenv("COBALTSHIFT_FENCE", fence.c_str(), 1);
+            ::setenv("COBALTSHIFT_NOTE", note.c_str(), 1);
             for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGCHLD, SIGPIPE}) ::signal(number, SIG_DFL);
             sigset_t none;
             ::sigemptyset(&none);
--- a/src/lease_io/run_command.hpp
+++ b/src/lease_io/run_command.hpp
@@ -1,10 +1,11 @@
 // A command that runs only while a right is held: `cobaltshift lease run`. Entry: run_command().
 //
 // The command gets the right's fence in COBALTSHIFT_FENCE and its name in COBALTSHIFT_TASK, to pass on to
-// whatever it acts upon. It is in a process group of its own. Where the right can't be renewed the group is
-// asked to end (SIGTERM) `grace` before the right's end and killed at it; if this process is stopped or
-// killed itself, a guard process does the latter. What remains: all of the machine's processes stopped
-// together past the end, until the guard runs again; there only the target's gate refuses.
+// whatever it acts upon, and what its predecessor has left for it (`lease note`) in COBALTSHIFT_NOTE. It is
+// in a process group of its own. Where the right can't be renewed the group is asked to end (SIGTERM) `grace`
+// before the right's end and killed at it; if this process is stopped or killed itself, a guard process does
+// the latter. What remains: all of the machine's processes stopped together past the end, until the guard
+// runs again; there only the target's gate refuses.
 #pragma once
 
 #include <string>
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,6 @@
 // The command line: `cobaltshift [serve]` is one real sidecar, `cobaltshift planner` advises many, `keeper`
-// and `lease` are lease_cli.hpp's. Exit codes: 0 stopped as asked, 1 failed to start or run, 2 bad usage,
-// configuration or settings.
+// and `lease` are lease_cli.hpp's. Exit codes: 0 stopped as asked, 1 failed to
+// start or run, 2 bad usage, configuration or settings.
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <iostream>
@@ -131,7 +131,7 @@
     planner->add_option("--settings", settings_file, "as above; its table [planner] is needed")->required();
     LeaseCli lease(app, settings_file);
     try {
-        app.parse(argc, argv);
+        app.parse(LeaseCli::words(argc, argv));
     } catch (const CLI::Success& said) {  // --help, --version
         return app.exit(said);
     } catch (const CLI::ParseError& error) {
--- a/src/sim/check/describe.cpp
+++ b/src/sim/check/describe.cpp
@@ -111,6 +111,8 @@
             .real(w.pause)
             .time(w.release_until)
             .number(w.queued);
+    for (const auto& [task, n] : h.notes_)
+        s.text(task).number(static_cast<std::uint64_t>(n.state)).number(n.fence).number(n.number).time(n.due);
     return s.get();
 }
 
--- a/src/sim/lease_days.cpp
+++ b/src/sim/lease_days.cpp
@@ -68,6 +68,8 @@
         }
         day.faults.push_back(f);
     }
+    // Drawn apart, so that all else of the day is as it was before there were notes.
+    if (Stream(seed, "lease notes").chance(0.5)) day.set["notes"] = 1;
     return day;
 }
 
--- a/src/sim/lease_facts.hpp
+++ b/src/sim/lease_facts.hpp
@@ -51,6 +51,16 @@
     std::string task;
     std::string text() const { return holder_name(holder) + " no longer holds " + task; }
 };
+struct Noted {  // a keeper has said that it is left
+    Node holder;
+    std::string task;
+    lease::Fence fence;
+    std::uint64_t value;
+    std::string text() const {
+        return holder_name(holder) + " has left " + std::to_string(value) + " for " + task + " under " +
+               std::to_string(fence);
+    }
+};
 struct Acted {
     std::string task;
     Node holder;
--- a/src/sim/models/holder.cpp
+++ b/src/sim/models/holder.cpp
@@ -21,7 +21,8 @@
       settings_(scene.day),
       endpoint_(scene.network.endpoint("holder-" + std::to_string(number))),
       lots_(scene.kernel.stream("holder/" + std::to_string(number))),
-      clock_(OwnClock::drawn(lots_, settings_.off)) {
+      clock_(OwnClock::drawn(lots_, settings_.off)),
+      notes_(scene.day.get("notes", 0) > 0) {
     for (std::size_t n = 0; n < settings_.tasks; ++n) tasks_.push_back("task-" + std::to_string(n));
 }
 
@@ -58,6 +59,7 @@
     paused_ = false;
     for (const auto& [task, right] : told_) scene_.bus.tell(RightOver{number_, task});
     told_.clear();
+    counting_.clear();
 }
 
 void HolderDesk::pause(bool on) {
@@ -132,6 +134,23 @@
     }
 }
 
+// A number kept under the right: whoever has the task adds one to what its predecessors left.
+void HolderDesk::count(const std::string& task) {
+    const auto at = counting_.find(task);
+    const lease::Holder::Note state = holder_->note_state(task);
+    if (at != counting_.end() && state == lease::Holder::Note::on_its_way) return;
+    if (at != counting_.end()) {
+        if (state == lease::Holder::Note::left)
+            scene_.bus.tell(Noted{number_, task, at->second.second, at->second.first});
+        counting_.erase(at);
+    }
+    const auto right = holder_->right(own(), task);
+    if (!right || !told_.count(task)) return;
+    const std::string note = holder_->note(task);
+    const std::uint64_t next = note.empty() ? 1 : std::stoull(note) + 1;
+    if (holder_->leave_note(own(), task, std::to_string(next))) counting_[task] = {next, right->fence};
+}
+
 void HolderDesk::pump() {
     holder_->tick(own());
     look();
@@ -172,6 +191,10 @@
         if (paused_) return;  // when it goes on it looks at the clock first
         for (const std::string& task : tasks_)
             if (const auto right = holder_->right(own(), task)) send(task, right->fence);
+        if (notes_)
+            later([this] {
+                for (const std::string& task : tasks_) count(task);
+            });
     });
 }
 
--- a/src/sim/models/holder.hpp
+++ b/src/sim/models/holder.hpp
@@ -44,6 +44,7 @@
     void schedule();
     void look();  // tells the bus of rights gained, moved and lost
     void act();
+    void count(const std::string& task);
     void send(const std::string& task, lease::Fence fence);
     void heard(const std::string& bytes);
     Millis own() const { return clock_.at(scene_.kernel.now()); }
@@ -56,6 +57,8 @@
     const OwnClock clock_;
     std::unique_ptr<lease::Holder> holder_;
     std::map<std::string, lease::Holder::Right> told_;
+    std::map<std::string, std::pair<std::uint64_t, lease::Fence>> counting_;  // on its way, by task
+    const bool notes_;
     std::vector<std::string> tasks_;
     std::deque<Task> inbox_;
     std::uint64_t life_ = 0, timer_ = 0;
--- a/tests/lease_smoke.sh
+++ b/tests/lease_smoke.sh
@@ -50,6 +50,14 @@
 expect 2 "${run[@]}" job "${s[@]}" --length 1ms -- true 2>/dev/null
 expect 2 "${run[@]}" job --settings "$work/none.toml" -- true 2>/dev/null
 
+# What one leaves the next one finds; nobody leaves anything under a right that is over.
+expect 0 "${run[@]}" job "${s[@]}" --length 2s -- sh -c "'$program' lease note job 'page 7' --settings '$work/0.toml'"
+expect 0 "${run[@]}" job "${s[@]}" --length 2s -- sh -c '[ "$COBALTSHIFT_NOTE" = "page 7" ]'
+"$program" lease show job "${s[@]}" --json | grep -q '"note": "page 7"' || fail "lease show of a note"
+expect 76 "$program" lease note job "page 6" --fence 1 "${s[@]}" 2>/dev/null
+expect 2 "$program" lease note job "two
+lines" --fence 1 "${s[@]}" 2>/dev/null
+
 # Held by one, refused to another; revoked, its command is ended.
 mkfifo "$work/began"
 "${run[@]}" job "${s[@]}" --length 2s --name one -- sh -c "echo > '$work/began'; exec sleep 60" 2>/dev/null &
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -508,6 +508,94 @@
     EXPECT_EQ(book.apply(op(Kind::want, 999)).outcome, lease::Book::Outcome::full);
 }
 
+TEST(Book, ANoteIsLeftUnderTheTasksRightAloneAndOutlivesItsHolder) {
+    using Kind = lease::Op::Kind;
+    using Outcome = lease::Book::Outcome;
+    lease::Book book;
+    const auto note = [&](lease::HolderId holder, lease::Fence fence, std::uint64_t number,
+                          const std::string& text) {
+        lease::Op one = op(Kind::note, holder, fence);
+        one.number = number, one.text = text;
+        return book.apply(one).outcome;
+    };
+    EXPECT_EQ(note(1, 1, 1, "step 1"), Outcome::nothing) << "nobody holds it";
+    book.apply(op(Kind::want, 1)), book.apply(op(Kind::want, 2));
+    EXPECT_EQ(note(1, 1, 7, "step 1"), Outcome::noted);
+    EXPECT_EQ(note(1, 1, 9, "step 2"), Outcome::noted);
+    EXPECT_EQ(note(1, 1, 7, "step 1"), Outcome::nothing) << "the first one again, late";
+    EXPECT_EQ(note(1, 1, 9, "else"), Outcome::noted) << "doubled: it has been left";
+    EXPECT_EQ(book.note("probe"), "step 2");
+    EXPECT_EQ(note(1, 2, 10, "x"), Outcome::nothing) << "a right that is not there yet";
+    lease::Book again;
+    ASSERT_TRUE(again.load(book.save()));
+    EXPECT_EQ(again.note("probe"), "step 2");
+    EXPECT_EQ(again.notes().at("probe").number, 9U);
+    book.apply(op(Kind::lapse, 0, 1));
+    EXPECT_EQ(note(1, 1, 11, "step 3"), Outcome::nothing) << "its right is over";
+    EXPECT_EQ(book.note("probe"), "step 2");
+    EXPECT_EQ(note(2, 2, 1, ""), Outcome::noted) << "taken away";
+    EXPECT_EQ(book.note("probe"), "");
+    EXPECT_EQ(note(2, 2, 0, "late"), Outcome::nothing) << "it does not come back";
+    book.apply(op(Kind::release, 2, 2));
+    EXPECT_TRUE(book.notes().empty());
+    // As many as may be, and no more; those there can still be changed.
+    for (std::size_t n = 0; n <= lease::kMaxNotes; ++n) {
+        lease::Op one = op(Kind::want, 5);
+        one.task = "task " + std::to_string(n);
+        const lease::Fence fence = book.apply(one).fence;
+        one.kind = Kind::note, one.fence = fence, one.number = 1, one.text = "x";
+        EXPECT_EQ(book.apply(one).outcome, n < lease::kMaxNotes ? Outcome::noted : Outcome::full);
+    }
+}
+
+// A holder and its keepers' answers by hand.
+TEST(Holder, ANoteIsAskedAgainUntilItIsAnsweredOrItsRightIsOver) {
+    lease::HolderSettings s;
+    s.id = 7, s.keepers = 3, s.margin = 50;
+    lease::Holder holder(s, 1);
+    EXPECT_FALSE(holder.leave_note(0, "t", "x")) << "no right";
+    holder.want(0, "t", 1000, true);
+    holder.tick(0);
+    lease::Answer a;
+    a.kind = lease::Answer::Kind::held, a.holder = 7, a.task = "t", a.fence = 3, a.length = 1000;
+    a.number = holder.take().at(0).question.number, a.text = "before";
+    holder.heard(10, a);
+    EXPECT_EQ(holder.note("t"), "before");
+    EXPECT_FALSE(holder.leave_note(20, "t", "two\nlines"));
+    EXPECT_FALSE(holder.leave_note(20, "t", std::string(lease::kMaxNote + 1, 'x')));
+    ASSERT_TRUE(holder.leave_note(20, "t", "after"));
+    holder.tick(20);
+    const auto asked = holder.take();
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_EQ(asked[0].question.kind, lease::Question::Kind::note);
+    EXPECT_EQ(asked[0].question.fence, 3U);
+    EXPECT_EQ(holder.note_state("t"), lease::Holder::Note::on_its_way);
+    EXPECT_EQ(holder.note("t"), "before") << "not known to be left";
+    // Unanswered: again, under a later number, to another keeper; an answer to the first changes nothing.
+    std::vector<lease::Holder::Ask> again;
+    for (double now = 20; now < 700 && again.empty(); now += 10) {
+        holder.tick(now);
+        for (auto& ask : holder.take())
+            if (ask.question.kind == lease::Question::Kind::note) again.push_back(ask);
+    }
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_GT(again[0].question.number, asked[0].question.number);
+    EXPECT_NE(again[0].keeper, asked[0].keeper);
+    lease::Answer done;
+    done.kind = lease::Answer::Kind::done, done.holder = 7, done.task = "t", done.fence = 3;
+    done.number = asked[0].question.number;
+    holder.heard(700, done);
+    EXPECT_EQ(holder.note_state("t"), lease::Holder::Note::on_its_way);
+    done.number = again[0].question.number;
+    holder.heard(710, done);
+    EXPECT_EQ(holder.note_state("t"), lease::Holder::Note::left);
+    EXPECT_EQ(holder.note("t"), "after");
+    // Its right over while one is on its way: nobody may know.
+    ASSERT_TRUE(holder.leave_note(720, "t", "third"));
+    for (double now = 720; now < 3000; now += 10) holder.tick(now), holder.take();
+    EXPECT_EQ(holder.note_state("t"), lease::Holder::Note::not_left);
+}
+
 TEST(Book, TheFullestBookGoesIntoOneSnapshot) {
     lease::Book book;
     for (std::size_t n = 0; n < lease::kMaxTasks + 1; ++n) {
