Loss of a site, first slices: spill plan checked without traffic, states led under a right

Nothing acts on requests yet; off in run.

Datagrams of shared probing in a file of their own, since who leads listens to them. Complaints about a missing key at the top of a file no longer begin with a dot.

--- a/src/lab/scenarios.cpp
+++ b/src/lab/scenarios.cpp
@@ -7,6 +7,7 @@
 #include "lab/probing.hpp"
 #include "lab/scenario.hpp"
 #include "lab/sim_world.hpp"
+#include "lab/sites.hpp"
 
 namespace cobaltshift::lab {
 
@@ -22,6 +23,10 @@
         {"probing",
          "sidecars that share probing, killed, stopped and cut off: no server unprobed for long, none often",
          probing},
+        {"sites",
+         "who leads the sites of a fleet: halls, leaders, keepers and links failing; states and steps in "
+         "order",
+         sites},
         {"planners", "real forwarders and planners, these killed and restarted under load", planners},
         {"plan-path", "from a server's first failure to the first request spared, part by part", plan_path},
         {"cost", "what a request costs one forwarder: straight against through, in one run", cost},
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,5 @@
 // The command line: `cobaltshift [serve]` is one real sidecar, `cobaltshift planner` advises many, `keeper`
-// and `lease` are lease_cli.hpp's. Exit codes: 0 stopped as asked, 1 failed to
+// and `lease` are lease_cli.hpp's, `site` is site_cli.hpp's. Exit codes: 0 stopped as asked, 1 failed to
 // start or run, 2 bad usage, configuration or settings.
 #include <CLI/CLI.hpp>
 #include <csignal>
@@ -14,6 +14,7 @@
 #include "plan_io/planner_node.hpp"
 #include "probing_io/shared_probing.hpp"
 #include "settings_file/settings_file.hpp"
+#include "site_cli.hpp"
 
 namespace {
 
@@ -130,6 +131,7 @@
     CLI::App* planner = app.add_subcommand("planner", "advises the forwarders of a fleet");
     planner->add_option("--settings", settings_file, "as above; its table [planner] is needed")->required();
     LeaseCli lease(app, settings_file);
+    SiteCli site(app, settings_file);
     try {
         app.parse(LeaseCli::words(argc, argv));
     } catch (const CLI::Success& said) {  // --help, --version
@@ -141,6 +143,7 @@
     try {
         if (planner->parsed()) return advise_fleet(settings_file);
         if (lease.parsed()) return lease.run();
+        if (site.parsed()) return site.run();
         serve(settings_file);
     } catch (const ConfigError& error) {
         std::cerr << "cobaltshift: " << error.what() << '\n';
--- a/src/probing/prober.cpp
+++ b/src/probing/prober.cpp
@@ -41,7 +41,7 @@
 
 Prober::Prober(const ProberSettings& settings) : settings_(settings), shards_(settings.shards) {
     for (std::uint32_t s = 0; s < settings_.shards; ++s)
-        for (std::uint32_t other = 0; other < settings_.instances; ++other)
+        for (std::uint32_t other = 0; other + settings_.listeners < settings_.instances; ++other)
             if (std::pair(weight(other, s), other) < std::pair(weight(settings_.number, s), settings_.number))
                 ++shards_[s].rank;
 }
@@ -108,6 +108,7 @@
     if (good != server.good || server.at < now - kExpires * settings_.interval)
         shards_[server.shard].news = true;
     server.fence = fence, server.number = number, server.good = good, server.at = at;
+    output_.found.push_back({id, good});
     if (good || at < now - kExpires * settings_.interval) return;
     ++counts_.failed;
     output_.failed.push_back(id);
@@ -165,6 +166,7 @@
 
 // Whether to ask for a shard.
 void Prober::stand(Millis now, std::uint32_t number, Shard& shard) {
+    if (settings_.number + settings_.listeners >= settings_.instances) return;
     const bool standing = shard.rank < settings_.stand_by;
     if (shard.heard_at == 0) shard.heard_at = now;  // of its own start
     if (stopped_ || (!standing && shard.wanted && shard.fence == 0 && shard.heard_fence != 0 &&
--- a/src/probing/prober.hpp
+++ b/src/probing/prober.hpp
@@ -37,7 +37,8 @@
     Millis interval = 10000;
     Millis probe = 500;        // a probe ends within this
     std::size_t stand_by = 3;  // instances that ask for a shard from the start; the others once it is silent
-    std::size_t at_once = 8;   // probes out at a time
+    std::uint32_t listeners = 0;  // the last so many instances hear what others tell, and ask for no shard
+    std::size_t at_once = 8;      // probes out at a time
     bool operator==(const ProberSettings&) const = default;
 };
 
@@ -52,6 +53,11 @@
         std::vector<ServerId> probe;
         std::vector<std::string> tell;  // each to all the others, sealed
         std::vector<ServerId> failed;   // found just now, by whomever: a rumour for the decision module
+        struct Found {
+            ServerId server;
+            bool good;
+        };
+        std::vector<Found> found;  // all that was, each probe's result once
     };
 
     explicit Prober(const ProberSettings& settings);
--- a/src/probing_io/shared_probing.cpp
+++ b/src/probing_io/shared_probing.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t kCode = 64;
 constexpr std::chrono::milliseconds kLookEvery{200};  // at what is listed
 constexpr std::size_t kSpareConnections = 2;          // beside the probes that are out
 
@@ -31,18 +30,20 @@
     : io_(io),
       sidecar_(sidecar),
       settings_(settings),
-      secret_(lease::Secret::from_file(keepers.secret_file)),
       prober_(core(settings)),
       // Who waits asks again within a length: a keeper that has just begun to lead knows whom to answer.
       rights_(io, keepers, config.name, settings.length),
       probes_(io, clock, limits(config, settings),
               {nullptr, [this](ServerId server, Outcome outcome, Millis) { ended(server, outcome); }}),
-      socket_(io, settings.listen),
+      datagrams_(io, settings.listen, settings.instances, settings.core.number,
+                 lease::Secret::from_file(keepers.secret_file),
+                 [this](std::string_view message) {
+                     prober_.heard(own_clock(), message);
+                     turn();
+                 }),
       timer_(io),
       look_(io) {
-    socket_.non_blocking(true);
     rights_.on_turn([this] { turn(); });
-    listen();
     look();
 }
 
@@ -127,14 +128,7 @@
 
 void SharedProbing::carry_out() {
     const Prober::Output output = prober_.take();
-    for (const std::string& message : output.tell) {
-        const std::string bytes = secret_.given() ? message + secret_.code({message}) : message;
-        for (std::size_t to = 0; to < settings_.instances.size(); ++to) {
-            error_code ignored;  // a message that can't go is a lost one
-            if (to != settings_.core.number)
-                socket_.send_to(asio::buffer(bytes), settings_.instances[to], 0, ignored);
-        }
-    }
+    for (const std::string& message : output.tell) datagrams_.tell(message);
     for (const std::uint32_t shard : output.want) rights_.want(task_of(shard), settings_.length, true);
     for (const std::uint32_t shard : output.give_up) rights_.give_up(task_of(shard));
     for (const ServerId server : output.probe) {
@@ -163,23 +157,4 @@
     turn();
 }
 
-void SharedProbing::listen() {
-    socket_.async_receive_from(
-        asio::buffer(bytes_), from_, [this, alive = alive_](error_code ec, std::size_t size) {
-            if (ec == asio::error::operation_aborted || !*alive) return;
-            if (!ec) {
-                std::string_view bytes(bytes_.data(), size);
-                const std::size_t code = secret_.given() ? kCode : 0;
-                if (size > code && size < bytes_.size()) {
-                    const std::string_view message = bytes.substr(0, size - code);
-                    if (!secret_.given() || secret_.right(bytes.substr(message.size()), {message})) {
-                        prober_.heard(own_clock(), message);
-                        turn();
-                    }
-                }
-            }
-            listen();
-        });
-}
-
 }  // namespace cobaltshift::probing
--- a/src/settings_file/section.hpp
+++ b/src/settings_file/section.hpp
@@ -100,7 +100,7 @@
     }
     [[noreturn]] void wrong(const char* key, const std::string& what) {
         const toml::node* node = find(key);
-        if (!node) throw SettingsError(file_ + ": " + name_ + "." + key + " " + what);
+        if (!node) throw SettingsError(file_ + ": " + full(key) + " " + what);
         fail(*node, key, what);
     }
     int line() const { return static_cast<int>(table_.source().begin.line); }
@@ -110,7 +110,7 @@
     }
     bool has(const char* key) { return find(key) != nullptr; }
     void need(const char* key) {
-        if (!find(key)) throw SettingsError(file_ + ": " + name_ + "." + key + " is missing");
+        if (!find(key)) throw SettingsError(file_ + ": " + full(key) + " is missing");
     }
     Section section(const char* key) {
         static const toml::table none;
@@ -125,6 +125,7 @@
     }
 
 private:
+    std::string full(const std::string& key) const { return name_.empty() ? key : name_ + "." + key; }
     const toml::node* find(const char* key) {
         known_.insert(key);
         return table_.get(key);
@@ -158,8 +159,8 @@
         return text.str();
     }
     [[noreturn]] void fail(const toml::node& node, const std::string& key, const std::string& what) const {
-        throw SettingsError(file_ + ":" + std::to_string(node.source().begin.line) + ": " +
-                            (name_.empty() ? "" : name_ + ".") + key + " " + what);
+        throw SettingsError(file_ + ":" + std::to_string(node.source().begin.line) + ": " + full(key) + " " +
+                            what);
     }
 
     const toml::table& table_;
--- a/src/settings_file/settings_file.cpp
+++ b/src/settings_file/settings_file.cpp
@@ -49,6 +49,7 @@
     probing.number("interval_ms", s.core.interval, 1000, 3600000);
     probing.number("length_ms", s.length, lease::kShortest, 900000);
     probing.number("probe_ms", s.core.probe, 10, 60000);
+    probing.count("listeners", s.core.listeners, 0, static_cast<double>(instances.size() - 1));
     probing.count("stand_by", s.core.stand_by, 1, 16);
     probing.count("at_once", s.core.at_once, 1, 64);
     // What the bounds on probes rest on (src/probing/prober.hpp, docs/operate/probing.md).
@@ -59,6 +60,38 @@
     probing.done();
 }
 
+void read_site(Section& root, ProgramSettings& settings) {
+    site::SiteSettings& s = settings.site.emplace();
+    Section site = root.section("site");
+    site.need("discovery"), site.endpoint("discovery", s.discovery);
+    site.number("length_ms", s.length, lease::kShortest, lease::kLongest);
+    site.number("look_ms", s.look, 20, 10000);
+    site::WatchSettings& watch = s.lead.watch;
+    site.number("suspect_ms", watch.suspect, 0, 600000);
+    site.number("lose_ms", watch.lose, 0, 600000);
+    site.number("recover_ms", watch.recover, 0, 600000);
+    site.number("out_ms", watch.hold, 0, 3600000);
+    site.number("longest_out_ms", watch.longest_hold, 0, 86400000);
+    site.number("forgive_ms", watch.forgive, 0, 86400000);
+    site.count("least_servers", watch.least, 1, 1000);
+    site::PacedSettings& paced = s.lead.paced;
+    if (site.has("steps")) paced.steps.clear(), site.numbers("steps", paced.steps, 50);
+    site.number("hold_ms", paced.hold, 100, 3600000);
+    site.count("least_probes", paced.least, 1, 1000000);
+    if (const std::string wrong = complaint(paced); !wrong.empty())
+        site.wrong("steps", "make no sense: " + wrong);
+    if (watch.lose < watch.suspect) site.wrong("lose_ms", "is under suspect_ms");
+    if (settings.probing.instances.empty())
+        site.wrong("discovery", "needs the table probing: what it goes by");
+    const probing::ProberSettings& probing = settings.probing.core;
+    if (probing.number + probing.listeners < settings.probing.instances.size())
+        site.wrong("discovery", "needs probing.number to be of one that only listens");
+    if (s.length < 3 * settings.keepers.margin)
+        site.wrong("length_ms", "is under three times keepers.margin_ms");
+    s.lead.verdict_life = 2.5 * probing.interval;
+    site.done();
+}
+
 }  // namespace
 
 ProgramSettings read_settings(const std::string& text, const std::string& file) {
@@ -119,6 +152,7 @@
     keepers.done();
     if (root.has("keeper")) read_keeper(root, settings);
     if (root.has("probing")) read_probing(root, settings);
+    if (root.has("site")) read_site(root, settings);
     root.done();
     return settings;
 }
--- a/src/settings_file/settings_file.hpp
+++ b/src/settings_file/settings_file.hpp
@@ -11,6 +11,7 @@
 #include "plan_io/settings.hpp"
 #include "probing_io/settings.hpp"
 #include "settings_file/error.hpp"
+#include "site_io/settings.hpp"
 
 namespace cobaltshift {
 
@@ -22,6 +23,7 @@
     std::optional<plan::ServerSettings> planner;  // given: this file can start a planner
     lease::KeepersSettings keepers;               // none: no rights can be asked for
     probing::ProbingSettings probing;             // without instances: off
+    std::optional<site::SiteSettings> site;       // given: this file can start one that leads sites
     std::optional<lease::KeeperSettings> keeper;  // given: this file can start a keeper
 };
 
--- a/tests/experiment_test.cpp
+++ b/tests/experiment_test.cpp
@@ -22,7 +22,7 @@
     };
     const Row table[] = {
         {"name = \"a\"\n", "none"},
-        {"", "x.toml: .name is missing"},
+        {"", "x.toml: name is missing"},
         {"name = 5\n", "x.toml:1: name is not a text"},
         {"name = \"a\nb\"", "x.toml:1: Error while parsing string"},
         {"name = \"a\"\nweather = 1\n", "x.toml:2: weather is not known"},
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Takes out, one at a time, what keeps the plan safe; the core tests must fail each time. Some minutes; not in CI.
 #   tests/mutations.sh [--world] [NAME]    --world: by the fault world alone (src/sim), 12 days and then 500
+#   tests/mutations.sh --fleet [NAME]      what many processes do together: notes under rights, shared probing, sites
 set -euo pipefail
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
@@ -10,7 +11,9 @@
 survivors=0
 targets=(cobaltshift_core_tests cobaltshift_world_tests cobaltshift_sim_tests kelplb_tests)
 world=
+fleet=
 if [ "${1:-}" = --world ]; then world=1; targets=(cobaltshift_world_tests); shift; fi
+if [ "${1:-}" = --fleet ]; then fleet=1; targets=(cobaltshift_lease_tests cobaltshift_probing_tests cobaltshift_site_tests); shift; fi
 failing() {  # the tests that fail, in a line
     for tests in "${targets[@]}"; do "$work/build/tests/$tests" --gtest_brief=1 2>&1 || true; done |
         sed -n 's/^\[  FAILED  \] \([A-Za-z]*\.[A-Za-z]*\) (.*/\1/p' | sort -u | tr '\n' ' '
@@ -39,6 +42,37 @@
 }
 only=${1:-}
 run() { [ -z "$only" ] || [ "$only" = "$1" ] || return 0; mutate "$@"; }
+if [ -n "$fleet" ]; then
+    run note_fence src/lease/book.cpp 's/ \|\| task->second\.fence != op\.fence//'
+    run note_number src/lease/book.cpp 's/if \(op\.number < note\.number\) return \{\};//'
+    run note_kept src/lease/book.cpp 's/note = \{op\.text, op\.fence, op\.holder, op\.number\};/note.text = op.text;/'
+    run probing_blind src/probing/prober.cpp 's/kBlind = 0\.5, kBlindSpread = 0\.125/kBlind = 0, kBlindSpread = 0/'
+    run probing_stale src/probing/prober.cpp 's/known >= now \? known/known > -kNever ? std::max(now, known)/'
+    run probing_same_right src/probing/prober.cpp 's/if \(fence == shard\.held\) return;//'
+    run probing_in_time src/probing/prober.cpp 's/if \(now \+ settings_\.probe > shard\.until\) continue;[^\n]*//'
+    run probing_twice src/probing/prober.cpp 's/told->sequence <= shard\.heard_sequence/false/'
+    run probing_gate src/probing/prober.cpp 's/!gate_\.admit\(task_of\(told->shard\), told->fence\)/false/'
+    run probing_silent src/probing/prober.cpp 's/now >= shard\.heard_at \+ silence\(shard\)\)/false)/'
+    run site_spread src/site/spill.cpp 's/const Flow spread = Levels\([^;]*;/const Flow& spread = flow;/'
+    run site_order src/site/spill.cpp 's/-value\(a\), /value(a), /; s/-value\(b\), /value(b), /'
+    run site_far src/site/spill.cpp 's/c\.answer \+ round_trip\[from\]\[to\] <= c\.aim/true/'
+    run site_guaranteed src/site/spill.cpp 's/within, Part::Rank::guaranteed/within, Part::Rank::other/'
+    run watch_moment src/site/watch.cpp 's/if \(now - since_ < settings_\.lose - settings_\.suspect\) return false;//'
+    run watch_hold src/site/watch.cpp 's/ && now >= held_until\(\)//'
+    run watch_longer src/site/watch.cpp 's/hold \*= 2;/;/'
+    run watch_apart src/site/watch.cpp 's/return inside && from_inside/return false \&\& from_inside/'
+    run paced_time src/site/paced.cpp 's/if \(now < since_ \+ settings_\.hold \* slower_\) return Turn::none;//'
+    run paced_own src/site/paced.cpp 's/    all_ = good_ = 0;//'
+    run paced_slower src/site/paced.cpp 's/std::min\(settings_\.longest, 2 \* slower_\)/slower_/'
+    run levels_slowly src/site/levels.hpp 's/now < std::max\(well_since_, changed_\) \+ wait_/false/'
+    run levels_swing src/site/levels.hpp 's/soon \? std::min\(2 \* wait_, settings_\.longest\) : settings_\.let_down/settings_.let_down/'
+    run lead_known src/site/lead.cpp 's/if \(!leads_ \|\| waiting_\) return \{\};/if (!leads_) return {};/'
+    run lead_version src/site/lead.cpp 's/book_\.version \+ 1 \+ doubtful_/book_.version + 1/'
+    run lead_resume src/site/lead.cpp 's/one\.paced\.resume\([^;]*;//'
+    run lead_as_it_was src/site/lead.cpp 's/doubtful_ == 0 \|\| next_\.sites == book_\.sites/true/'
+    [ "$survivors" = 0 ]
+    exit
+fi
 run identity src/plan/follower.cpp 's/if \(plan\.id < seen && [^;]*;//'
 run slice src/plan/types.hpp 's/kPlannersSlice = 0\.125/kPlannersSlice = 8/'
 run leases src/plan/planner.cpp 's/std::min\(wanted, s\.slice - alive\(s, now, &name\)\)/wanted/'
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -65,6 +65,28 @@
         EXPECT_NE(complaint(text).find(said), std::string::npos) << text << " -> " << complaint(text);
 }
 
+TEST(SettingsFile, LeadingSitesThatMakesNoSense) {
+    const std::string three =
+        "[keepers]\naddresses = [\"127.0.0.1:1\", \"127.0.0.1:2\", \"127.0.0.1:3\"]\n"
+        "[probing]\nnumber = 1\nlisteners = 1\ninstances = [\"127.0.0.1:4\", \"127.0.0.1:5\"]\n";
+    const std::string good = "[site]\ndiscovery = \"127.0.0.1:6\"\n";
+    std::string probes = three;
+    probes.replace(probes.find("listeners = 1"), 13, "listeners = 0");
+    const std::pair<std::string, const char*> table[] = {
+        {three + good, "none"},
+        {three + "[site]\n", "site.discovery is missing"},
+        {good, "x.toml:2: site.discovery needs the table probing"},
+        {probes + good, "x.toml:8: site.discovery needs probing.number to be of one that only listens"},
+        {three + good + "length_ms = 1000\n",
+         "x.toml:9: site.length_ms is under three times keepers.margin_ms"},
+        {three + good + "lose_ms = 100\n", "x.toml:9: site.lose_ms is under suspect_ms"},
+        {three + good + "steps = [0.5]\n", "x.toml:9: site.steps make no sense: steps do not end with 1"},
+        {three + good + "step = 1\n", "x.toml:9: site.step is not known"},
+    };
+    for (const auto& [text, said] : table)
+        EXPECT_NE(complaint(text).find(said), std::string::npos) << text << " -> " << complaint(text);
+}
+
 TEST(SettingsFile, ComplaintsNameFileLineAndKey) {
     const std::pair<const char*, const char*> table[] = {
         {"[shares]\nclients_hold = 0.5\n", "none"},
@@ -116,9 +138,19 @@
     EXPECT_EQ(example.keeper->listen, example.keepers.keepers[0]);
     const probing::ProbingSettings probing;
     ASSERT_EQ(example.probing.instances.size(), 2u);
-    EXPECT_EQ(example.probing.listen, example.probing.instances[0]);
+    EXPECT_EQ(example.probing.listen, example.probing.instances[1]);
     EXPECT_EQ(example.probing.length, probing.length);
-    EXPECT_EQ(example.probing.core, probing.core);
+    probing::ProberSettings core = example.probing.core;
+    core.number = core.listeners = 0;
+    EXPECT_EQ(core, probing.core);
+    ASSERT_TRUE(example.site);
+    const site::SiteSettings site;
+    EXPECT_EQ(example.site->length, site.length);
+    EXPECT_EQ(example.site->look, site.look);
+    EXPECT_EQ(example.site->lead.paced.steps, site.lead.paced.steps);
+    EXPECT_EQ(example.site->lead.paced.least, site.lead.paced.least);
+    EXPECT_EQ(example.site->lead.watch.hold, site.lead.watch.hold);
+    EXPECT_EQ(example.site->lead.watch.least, site.lead.watch.least);
     EXPECT_TRUE(load_settings(COBALTSHIFT_DEPLOY "/platform.toml").probing.instances.empty());
 }
 
