--- a/tests/packages.sh
+++ b/tests/packages.sh
@@ -33,6 +33,7 @@
     want clang++-14 clang-14
     want clang-tidy-14 clang-tidy-14
     want valgrind valgrind
+    want ccache ccache
     ;;
 esac
 [ ${#need[@]} -gt 0 ] || exit 0
