Sight: each request that a proxy's end cuts is an event, and so is an answer not read in time

Need: hypotheses H1 and H3 of the incident can't be told apart by what the log says ("ended with requests held", no number, no id). Change: GD010 with Request-Id, stage and age for each request that is unanswered when the process ends; listener.answer_cut where an answer's time to be read is over. No change of what is done.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -44,6 +44,21 @@
 
     Account account() const { return account_; }
 
+    std::optional<OpenRequest> open_request() const {
+        using Stage = OpenRequest::Stage;
+        const Millis age = owner_.clock_.now() - began_;
+        switch (state_) {
+            case State::reading:
+                return OpenRequest{Stage::reading, {}, age};
+            case State::waiting:
+                return OpenRequest{Stage::waiting, open_name_, age};
+            case State::writing:
+                return OpenRequest{Stage::answering, {}, age};
+            default:
+                return {};
+        }
+    }
+
     // Which go first to make room for another, the least first; kStays: it does not go.
     static constexpr int kStays = 4;
     int rank(Millis now) const {
@@ -84,6 +99,9 @@
     bool is_due(Millis now) const { return until_ > 0 && now >= until_; }
     void time_is_up() {
         if (state_ == State::reading) return reject(http::status::request_timeout);
+        if (state_ == State::writing)
+            log_line("listener.answer_cut", "an answer was not read in time and is cut",
+                     {{"age_ms", owner_.clock_.now() - began_}});
         close();
     }
 
@@ -426,4 +444,11 @@
 
 bool Listener::busy() const { return !sessions_.empty(); }
 
+std::vector<Listener::OpenRequest> Listener::open_requests() const {
+    std::vector<OpenRequest> open;
+    for (const auto& session : sessions_)
+        if (auto request = session->open_request()) open.push_back(std::move(*request));
+    return open;
+}
+
 }  // namespace cobaltshift
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "net/clock.hpp"
 #include "net/front.hpp"
@@ -39,6 +40,15 @@
     bool busy() const;
     std::size_t connections() const { return sessions_.size(); }
 
+    // A connection with a request on it, for whoever asks what is held and why it has not ended.
+    struct OpenRequest {
+        enum class Stage { reading, waiting, answering };
+        Stage stage;
+        std::string name;  // as the front names it; empty while it is read or answered
+        Millis age = 0;    // since its first byte
+    };
+    std::vector<OpenRequest> open_requests() const;
+
 private:
     class Session;
     using Sessions = std::list<std::shared_ptr<Session>>;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -211,9 +211,23 @@
     });
 }
 
+void Proxy::log_unanswered() const {
+    using Stage = Listener::OpenRequest::Stage;
+    for (const Listener::OpenRequest& request : outbound_listener_.open_requests()) {
+        const char* stage = request.stage == Stage::reading   ? "reading"
+                            : request.stage == Stage::waiting ? "waiting"
+                                                              : "answering";
+        log_line("GD010 request cut",
+                 std::string("the process ends with a request unanswered: ") + stage + " " + request.name +
+                     " for " + std::to_string(static_cast<long>(request.age)) + " ms",
+                 {{"stage", stage}, {"request", request.name}, {"age_ms", request.age}});
+    }
+}
+
 void Proxy::wind_down() {
     const bool held = outbound_listener_.busy() || outbound_.busy() || inbound_.busy();
     if (!held || clock_.now() >= stop_at_) {
+        log_unanswered();
         log_line("GD005 ended", held ? "ended with requests held" : "ended with nothing held");
         gossip_.stop();
         return stopped_();
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -39,6 +39,7 @@
     void ask_health(const config::Configuration& configuration);
 
     void wind_down();
+    void log_unanswered() const;
     void tally();
 
     asio::io_context& io_;
