Proxy: what is held when the grace time ends is answered, not cut

Cause: at the end of its grace time a proxy ended with what it held; deadlines longer than the grace time and servers or queues that do not answer bring it about. Change: the order of leaving is one core (ShutdownSequence) that program and simulator both drive. From 2.6 s on a request that arrives whole is refused; 0.5 s before the end every request held is answered by what is known of it (503 where it never ran, else 504); what is taken after SIGTERM is given no longer than that. Answers to other proxies are waited for as well.

--- a/src/caller/caller.hpp
+++ b/src/caller/caller.hpp
@@ -125,6 +125,15 @@
         drop_request(id);
     }
 
+    // Every request gets its final answer now, by what is known of it; what has not begun to be written never
+    // will be, and all else that is out is no longer waited for.
+    void answer_all() {
+        std::vector<RequestId> open;
+        for (const auto& [id, request] : requests_)
+            if (!request.ended) open.push_back(id);
+        for (const RequestId id : open) answer_now(id);
+    }
+
     // `hosts`: name, dial, zone, cell, phase, born and units of each. Gives what the module was told.
     template <class Hosts>
     std::vector<ServerInfo> told(ListKind kind, bool whole, const Hosts& hosts) {
@@ -260,6 +269,20 @@
         surroundings_.withdraw_request(id);
     }
 
+    void answer_now(RequestId id) {
+        const auto at = requests_.find(id);
+        if (at == requests_.end() || at->second.ended) return;
+        Request& request = at->second;
+        request.ended = true;  // no attempt that ends from here on leads to another
+        --unanswered_;
+        surroundings_.withdraw_request(id);
+        for (std::uint32_t attempt = 0; attempt < request.attempts; ++attempt)
+            surroundings_.expire({id, attempt});
+        surroundings_.answer(request.client, surroundings_.refusal(request.story, 0), true);
+        push(ClientGone{id});
+        drop_request(id);
+    }
+
     // ---- Actions ---------------------------------------------------------------------------------------
 
     void carry_out(const Send& action) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -52,6 +52,8 @@
     // From clients. The answer comes later, through the client.
     RequestId arrived(RequestPtr request, Millis time_left, std::weak_ptr<Client> client);
     void client_gone(RequestId id);
+    // Every request that is held gets its final answer now, by what is known of it.
+    void answer_all() { caller_.answer_all(); }
 
     // From discovery and from other sidecars.
     void told(const HostList& list, bool saved = false);
--- a/src/proxy/outbound.cpp
+++ b/src/proxy/outbound.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kMostBody = 64 << 20;
 constexpr int kIdBits = 48;  // of a request's number; above it its pool's
 constexpr std::uint32_t kProxies = 15;
+constexpr Millis kRetryLeaving = 60;  // at another proxy: this one takes no new connections any more
 
 HttpResponse unsettled() {
     return refusal(*NotRun::from({Execution::not_run, Reason::unsettled}), routing::kRetryUnsettled);
@@ -138,6 +139,16 @@
     return *found;
 }
 
+void Outbound::refuse_new() {
+    refuses_new_ = true;
+    refuse_early();
+}
+
+void Outbound::answer_all() {
+    refuse_early();
+    for (Pool* pool : by_number_) pool->sidecar->answer_all();
+}
+
 bool Outbound::busy() const {
     return std::any_of(by_number_.begin(), by_number_.end(),
                        [](const Pool* p) { return p->sidecar->unanswered() > 0; });
@@ -208,6 +219,7 @@
 }
 
 std::optional<HttpResponse> Outbound::local(const HttpRequest& request) {
+    if (refuses_new_) return refusal(*NotRun::from({Execution::not_run, Reason::leaving}), kRetryLeaving);
     if (!configuration_) {
         if (early_.may_wait(clock_.now())) return {};
         return unsettled();
@@ -227,7 +239,8 @@
     }
     const Route* route = route_of(*request);
     const Millis client_left = read_ms((*request)[kDeadline]).value_or(route->deadline_ms);
-    const Millis left = routing::time_left(*route, client_left, spent);
+    Millis left = routing::time_left(*route, client_left, spent);
+    if (answers_at_) left = std::max(0.0, std::min(left, *answers_at_ - clock_.now()));
     // Whatever Connection names, these stay: the server and the admission go by them.
     const std::string name((*request)[kRequestId]), host((*request)[http::field::host]);
     strip_hop_by_hop(*request);
--- a/src/proxy/outbound.hpp
+++ b/src/proxy/outbound.hpp
@@ -36,6 +36,13 @@
     void registry_changed();  // soon, once for many
     bool busy() const;
 
+    // This node leaves: what is taken from here on ends by `answers_at`.
+    void leave(Millis answers_at) { answers_at_ = answers_at; }
+    // What arrives from here on is refused.
+    void refuse_new();
+    // Every request that is held gets its final answer now, by what is known of it.
+    void answer_all();
+
     Bounds bounds() const override;
     std::optional<http::status> fault(const HttpRequest& head) override;
     std::optional<HttpResponse> local(const HttpRequest& request) override;
@@ -74,7 +81,8 @@
     std::map<std::string, ZoneId> zones_;
     routing::ServerDirectory directory_;
     asio::steady_timer avoid_timer_;
-    bool listing_ = false;
+    bool listing_ = false, refuses_new_ = false;
+    std::optional<Millis> answers_at_;  // once this node leaves
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 constexpr std::uint64_t kMostCall = 64 * 1024;  // bytes of a beat
-// After SIGTERM: the admission goes on while callers learn of it, the callers' side while the platform moves
-// clients.
-constexpr Millis kInboundOpenFor = 400, kListenFor = 2600, kLook = 20, kLastMoment = 250;
 constexpr std::chrono::seconds kTallyEvery{60};
 constexpr std::uint32_t kCapacityUnheard = 4;  // of a server whose health answered before its first beat
 
@@ -194,23 +191,54 @@
     if (stopped_) return;
     stopped_ = std::move(done);
     leaving_ = true;
-    stop_at_ = clock_.now() + boot_.bound("grace_s", 6) * 1000 - kLastMoment;
+    shutdown_.emplace(clock_.now(), boot_.bound("grace_s", 6) * 1000);
     log_line("GD004 leaving", "SIGTERM: takes no new work");
     gossip_.tell([](registry::NodeRecord& own) { own.leaving = true, own.ready = false; });
+    outbound_.leave(shutdown_->answers_at());
     outbound_listener_.drain();
-    timer_.expires_after(std::chrono::milliseconds(static_cast<int>(kInboundOpenFor)));
-    timer_.async_wait([this](error_code) {
-        inbound_.leave();
-        inbound_listener_.drain();
-        timer_.expires_after(std::chrono::milliseconds(static_cast<int>(kListenFor - kInboundOpenFor)));
-        timer_.async_wait([this](error_code) {
-            outbound_listener_.stop_accepting();
-            inbound_listener_.stop_accepting();
-            wind_down();
-        });
+    proceed_to_end();
+}
+
+bool Proxy::holds_requests() const {
+    // An answer to another proxy is not over before its last byte is written.
+    return outbound_listener_.busy() || outbound_.busy() || inbound_.busy() ||
+           !inbound_listener_.open_requests().empty();
+}
+
+void Proxy::proceed_to_end() {
+    while (const auto step = shutdown_->take_due(clock_.now(), holds_requests())) {
+        carry_out(*step);
+        if (*step == shutdown::Step::end) return;
+    }
+    timer_.expires_at(clock_.point(shutdown_->next_look(clock_.now())));
+    timer_.async_wait([this](error_code ec) {
+        if (!ec) proceed_to_end();
     });
 }
 
+void Proxy::carry_out(shutdown::Step step) {
+    switch (step) {
+        case shutdown::Step::close_admission:
+            inbound_.leave();
+            return inbound_listener_.drain();
+        case shutdown::Step::refuse_new:
+            outbound_.refuse_new();
+            outbound_listener_.stop_accepting();
+            return inbound_listener_.stop_accepting();
+        case shutdown::Step::answer_held:
+            if (outbound_.busy())
+                log_line("GD011 answers what it holds",
+                         "the grace time is nearly over: requests that are held are answered as they are");
+            return outbound_.answer_all();
+        case shutdown::Step::end:
+            log_unanswered();
+            log_line("GD005 ended",
+                     holds_requests() ? "ended with requests held" : "ended with nothing held");
+            gossip_.stop();
+            return stopped_();
+    }
+}
+
 void Proxy::log_unanswered() const {
     using Stage = Listener::OpenRequest::Stage;
     for (const Listener::OpenRequest& request : outbound_listener_.open_requests()) {
@@ -224,18 +252,6 @@
     }
 }
 
-void Proxy::wind_down() {
-    const bool held = outbound_listener_.busy() || outbound_.busy() || inbound_.busy();
-    if (!held || clock_.now() >= stop_at_) {
-        log_unanswered();
-        log_line("GD005 ended", held ? "ended with requests held" : "ended with nothing held");
-        gossip_.stop();
-        return stopped_();
-    }
-    timer_.expires_after(std::chrono::milliseconds(static_cast<int>(kLook)));
-    timer_.async_wait([this](error_code) { wind_down(); });
-}
-
 std::string Proxy::status() const {
     Json::Value all;
     all["node"] = boot_.node_name;
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "api/api_front.hpp"
 #include "boot/boot.hpp"
@@ -13,6 +14,7 @@
 #include "proxy/beats.hpp"
 #include "proxy/inbound.hpp"
 #include "proxy/outbound.hpp"
+#include "shutdown/shutdown_sequence.hpp"
 
 namespace cobaltshift::proxy {
 
@@ -21,7 +23,7 @@
     // Throws boost::system::system_error if it can't listen.
     Proxy(asio::io_context& io, boot::Boot boot, std::uint64_t seed);
 
-    // SIGTERM: stops taking work in order, and calls `done` when nothing is held or grace is nearly over.
+    // SIGTERM: stops taking work in order, answers all that it holds, and calls `done` (ShutdownSequence).
     void stop(std::function<void()> done);
     void reload(const boot::Boot& boot);  // SIGHUP
     bool ready() const;
@@ -38,7 +40,10 @@
     // Started again beside a server that runs on: its next heartbeat is up to heartbeat_s away.
     void ask_health(const config::Configuration& configuration);
 
-    void wind_down();
+    // SIGTERM's order, step by step.
+    void proceed_to_end();
+    void carry_out(shutdown::Step step);
+    bool holds_requests() const;
     void log_unanswered() const;
     void tally();
 
@@ -59,7 +64,7 @@
     Listener outbound_listener_, inbound_listener_, control_listener_, ready_listener_;
     asio::steady_timer timer_, tally_timer_, confirmation_timer_;
     std::function<void()> stopped_;
-    Millis stop_at_ = 0;
+    std::optional<shutdown::ShutdownSequence> shutdown_;  // since SIGTERM
     bool leaving_ = false, asked_health_ = false, told_confirmed_ = false;
 };
 
--- a/src/sim_mesh/facts.hpp
+++ b/src/sim_mesh/facts.hpp
@@ -40,6 +40,7 @@
     bool deadline_kept = true;         // a request is given up in time for its client
     bool withdrawn_when_gone = true;   // what waits for a client that has left goes nowhere
     bool answers_before_end = true;    // a proxy that ends in order answers what it has read
+    bool answers_at_end = true;        // what it holds at the end of its grace time too
     bool hears_beats = true;           // a proxy that comes back finds its server again
 };
 
--- a/src/sim_mesh/pool.hpp
+++ b/src/sim_mesh/pool.hpp
@@ -23,6 +23,7 @@
     RequestId arrived(const simmesh::RequestPtr& request, const config::Route& route, Millis left,
                       Answered done);
     void client_gone(RequestId id) { caller_.client_gone(id); }
+    void answer_all() { caller_.answer_all(); }
     std::size_t unanswered() const { return caller_.unanswered(); }
 
 private:
--- a/src/sim_mesh/proxy.cpp
+++ b/src/sim_mesh/proxy.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 // As proxy/proxy.cpp.
-constexpr Millis kInboundOpenFor = 400, kListenFor = 2600, kLook = 20, kLastMoment = 250;
+constexpr Millis kRetryLeaving = 60;
 constexpr Millis kDeadlineForgotten = 3000;  // with that safeguard out
 constexpr std::uint32_t kCapacityUnheard = 4;
 }  // namespace
@@ -147,7 +147,10 @@
 
 std::uint64_t Proxy::request(const RequestPtr& request, Pool::Answered done) {
     const std::uint64_t number = next_++;
-    if (in_force_) {
+    if (refuses_new_) {
+        tell_handled(*request);
+        done({503, {}, kRetryLeaving, false});
+    } else if (in_force_) {
         pass_on(number, request, std::move(done));
     } else if (early_.may_wait(now())) {
         early_numbers_[number] = early_.add(now(), {number, request, std::move(done)});
@@ -169,7 +172,8 @@
     const config::Route* route = in_force_->find(request->host, request->path);
     if (!route) return done({404, {}, 0, false});
     const Millis late = world_.safeguards.deadline_kept ? 0 : kDeadlineForgotten;
-    const Millis left = routing::time_left(*route, request->deadline - now(), 0) + late;
+    Millis left = routing::time_left(*route, request->deadline - now(), 0) + late;
+    if (shutdown_) left = std::max(0.0, std::min(left, shutdown_->answers_at() - now()));
     Pool& pool = *pools_.at(routing::choose_service(*route, world_.unit()));
     numbers_[number] = {&pool, 0};
     const RequestId id = pool.arrived(request, *route, left, [this, number, done](const Answer& a) {
@@ -212,10 +216,9 @@
 
 void Proxy::stop(Task done) {
     if (std::exchange(leaving_, true)) return;
-    const Millis stop_at = now() + world_.bounds.grace - kLastMoment;
+    shutdown_.emplace(now(), world_.bounds.grace);
     tell([](registry::NodeRecord& own) { own.leaving = true, own.ready = false; });
-    after(kInboundOpenFor, [this] { inbound_.leave(); });
-    after(kListenFor, [this, stop_at, done] { wind_down(stop_at, done); });
+    proceed_to_end(done);
 }
 
 bool Proxy::holds_requests() const {
@@ -223,13 +226,23 @@
                                           [](const auto& one) { return one.second->unanswered() > 0; });
 }
 
-void Proxy::wind_down(Millis stop_at, const Task& done) {
+void Proxy::proceed_to_end(const Task& done) {
     const bool held = holds_requests() && world_.safeguards.answers_before_end;
-    if (!held || now() >= stop_at) {
-        world_.time.after(0, done);
-        return;
+    while (const auto step = shutdown_->take_due(now(), held)) {
+        if (*step == shutdown::Step::end) return world_.time.after(0, done);
+        carry_out(*step);
+    }
+    after(std::max(shutdown_->next_look(now()) - now(), 0.001), [this, done] { proceed_to_end(done); });
+}
+
+void Proxy::carry_out(shutdown::Step step) {
+    if (step == shutdown::Step::close_admission) inbound_.leave();
+    if (step == shutdown::Step::refuse_new) {
+        refuses_new_ = true;
+        refuse_early();
     }
-    after(kLook, [this, stop_at, done] { wind_down(stop_at, done); });
+    if (step == shutdown::Step::answer_held && world_.safeguards.answers_at_end)
+        for (const auto& [name, pool] : pools_) pool->answer_all();
 }
 
 }  // namespace cobaltshift::simmesh
--- a/src/sim_mesh/proxy.hpp
+++ b/src/sim_mesh/proxy.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "routing/early_requests.hpp"
+#include "shutdown/shutdown_sequence.hpp"
 #include "sim_mesh/inbound.hpp"
 #include "sim_mesh/pool.hpp"
 #include "sim_mesh/server.hpp"
@@ -39,7 +40,8 @@
     void list_servers();
     void reconsider_configuration();
     bool holds_requests() const;
-    void wind_down(Millis stop_at, const Task& done);
+    void proceed_to_end(const Task& done);
+    void carry_out(shutdown::Step step);
     void pass_on(std::uint64_t number, const RequestPtr& request, Pool::Answered done);
     void tell_handled(const Request& request);  // to the checkers
     void take_early();
@@ -61,7 +63,8 @@
     };
     routing::EarlyRequests<EarlyRequest> early_;
     std::map<std::uint64_t, RequestId> early_numbers_;
-    bool listing_ = false, asked_health_ = false;
+    bool listing_ = false, asked_health_ = false, refuses_new_ = false;
+    std::optional<shutdown::ShutdownSequence> shutdown_;  // since SIGTERM
     Millis confirmation_armed_ = 0, started_at_ = 0;
 };
 
--- a/tests/mesh/checkers_test.cpp
+++ b/tests/mesh/checkers_test.cpp
@@ -112,6 +112,14 @@
     check_red("GONE", crowd, &Safeguards::withdrawn_when_gone);
 }
 
+TEST_CASE("LOST: a proxy holds requests to the end of its grace time and answers none of them") {
+    const std::string text =
+        "fleet proxies=6 hubs=3 zones=3 services=2 seed=3 work=200 deadline=9000\nat 1 put\n"
+        "traffic plain=30 registered=30 from=4 to=24\nat 6 lose service 0 silence share=0.3 for=16\n"
+        "every 4 from=8 to=22 sigterm proxy 2 for=1\n";
+    check_red("LOST", text, &Safeguards::answers_at_end);
+}
+
 TEST_CASE("LOST: a proxy that ends in order does not wait for what it has read") {
     const std::string text =
         "fleet proxies=6 hubs=3 zones=3 services=2 seed=3 work=600\nat 1 put\n"
