Programs: signals are heard from the first moment on

SIGTERM or SIGHUP between a program's start and its last line of setting up ended it with 143 or 129: the handlers came last. Change: the signal sets are made before the settings are read; what comes in between waits.

--- a/src/programs/control.cpp
+++ b/src/programs/control.cpp
@@ -103,6 +103,10 @@
         return 2;
     }
     try {
+        // From the first moment on: a signal that comes while the node is put together must not end it
+        // unheard.
+        asio::io_context io(1);
+        asio::signal_set signals(io, SIGTERM, SIGINT), hup(io, SIGHUP);
         boot::Boot settings = boot::read_boot(file);
         if (settings.data_dir.empty())
             throw boot::BootError(file +
@@ -110,13 +114,10 @@
         if (absl::GetFlag(FLAGS_check)) return 0;
         log_as(LogFormat::numbered);
         std::signal(SIGPIPE, SIG_IGN);
-        asio::io_context io(1);
         Hub hub(io, std::move(settings));
-        asio::signal_set signals(io, SIGTERM, SIGINT);
         signals.async_wait([&](error_code ec, int) {
             if (!ec) hub.stop([&io] { io.stop(); });
         });
-        asio::signal_set hup(io, SIGHUP);
         std::function<void()> again = [&] {
             hup.async_wait([&](error_code ec, int) {
                 if (!ec) again();
--- a/src/programs/proxy.cpp
+++ b/src/programs/proxy.cpp
@@ -51,15 +51,17 @@
         return 2;
     }
     try {
+        // From the first moment on: a signal that comes while the node is put together must not end it
+        // unheard.
+        asio::io_context io(1);
+        asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
         boot::Boot settings = boot::read_boot(file);
         if (absl::GetFlag(FLAGS_check)) return 0;
         log_as(LogFormat::numbered);
         std::signal(SIGPIPE, SIG_IGN);
-        asio::io_context io(1);
         std::random_device device;
         const std::uint64_t seed = (std::uint64_t{device()} << 32) | device();
         proxy::Proxy node(io, std::move(settings), seed);
-        asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
         on_signals(signals, node, io, file);
         io.run();
         return 0;
