--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -48,13 +48,24 @@
     return std::chrono::duration<double, std::milli>(Steady::now() - at).count();
 }
 
+// Loopback addresses of one soak: runs beside one another don't meet.
+struct Networks {
+    std::string controls, proxies;  // all but the last number of an address
+};
+Networks networks_of(unsigned pid) {
+    constexpr unsigned kSecond = 200, kThird = 100;
+    const std::string second = "127." + std::to_string(20 + pid % kSecond) + ".";
+    const unsigned third = 2 * (pid / kSecond % kThird);
+    return {second + std::to_string(third) + ".", second + std::to_string(third + 1) + "."};
+}
+
 class Soak {
 public:
     Soak(Plan plan, std::uint64_t seed)
         : plan_(plan),
           random_(seed),
           clients_{io_, ledger_, [this] { return a_proxy(); }, clients_stopped_},
-          net_("127." + std::to_string(20 + static_cast<unsigned>(::getpid()) % 200) + ".") {
+          net_(networks_of(static_cast<unsigned>(::getpid()))) {
         for (std::size_t i = 0; i < kControls; ++i) add(true, i);
         for (std::size_t i = 0; i < plan_.proxies; ++i) add(false, i);
     }
@@ -78,12 +89,12 @@
     void add(bool control, std::size_t number) {
         Machine machine;
         machine.name = (control ? "control-" : "proxy-") + std::to_string(number);
-        machine.ip = net_ + (control ? "1." : "2.") + std::to_string(number + 1);
+        machine.ip = (control ? net_.controls : net_.proxies) + std::to_string(number + 1);
         machine.program = beside(control ? "cobaltshift-control" : "cobaltshift-proxy");
         std::string seeds;
         for (std::size_t i = 0; i < kControls; ++i)
-            seeds +=
-                (i > 0 ? "," : "") + net_ + "1." + std::to_string(i + 1) + ":" + std::to_string(kControlPort);
+            seeds += (i > 0 ? "," : "") + net_.controls + std::to_string(i + 1) + ":" +
+                     std::to_string(kControlPort);
         const auto at = [&](const char* key, std::uint16_t port) {
             return std::string(key) + "=" + machine.ip + ":" + std::to_string(port) + "\n";
         };
@@ -369,7 +380,7 @@
                           servers_stopped_ = std::make_shared<bool>(false),
                           changes_stopped_ = std::make_shared<bool>(false);
     SoakClients clients_;
-    const std::string net_;
+    const Networks net_;
     std::vector<Machine> machines_;
     std::map<std::string, std::uint64_t> struck_;
     std::uint64_t version_ = 0, acknowledged_ = 0;
