--- a/src/programs/control.cpp
+++ b/src/programs/control.cpp
@@ -103,10 +103,11 @@
         return 2;
     }
     try {
-        // From the first moment on: a signal that comes while the node is put together must not end it
-        // unheard.
+        // From the first moment to the last: a signal that comes while the node is put together must not end
+        // it unheard, nor one that comes on the way out. So they are never taken down.
         asio::io_context io(1);
-        asio::signal_set signals(io, SIGTERM, SIGINT), hup(io, SIGHUP);
+        static auto* const signals = new asio::signal_set(io, SIGTERM, SIGINT);
+        static auto* const hup = new asio::signal_set(io, SIGHUP);
         boot::Boot settings = boot::read_boot(file);
         if (settings.data_dir.empty())
             throw boot::BootError(file +
@@ -115,11 +116,11 @@
         log_as(LogFormat::numbered);
         std::signal(SIGPIPE, SIG_IGN);
         Hub hub(io, std::move(settings));
-        signals.async_wait([&](error_code ec, int) {
+        signals->async_wait([&](error_code ec, int) {
             if (!ec) hub.stop([&io] { io.stop(); });
         });
         std::function<void()> again = [&] {
-            hup.async_wait([&](error_code ec, int) {
+            hup->async_wait([&](error_code ec, int) {
                 if (!ec) again();
             });
         };
--- a/src/programs/proxy.cpp
+++ b/src/programs/proxy.cpp
@@ -51,10 +51,10 @@
         return 2;
     }
     try {
-        // From the first moment on: a signal that comes while the node is put together must not end it
-        // unheard.
+        // From the first moment to the last: a signal that comes while the node is put together must not end
+        // it unheard, nor one that comes on the way out. So they are never taken down.
         asio::io_context io(1);
-        asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+        static auto* const signals = new asio::signal_set(io, SIGTERM, SIGINT, SIGHUP);
         boot::Boot settings = boot::read_boot(file);
         if (absl::GetFlag(FLAGS_check)) return 0;
         log_as(LogFormat::numbered);
@@ -62,7 +62,7 @@
         std::random_device device;
         const std::uint64_t seed = (std::uint64_t{device()} << 32) | device();
         proxy::Proxy node(io, std::move(settings), seed);
-        on_signals(signals, node, io, file);
+        on_signals(*signals, node, io, file);
         io.run();
         return 0;
     } catch (const boot::BootError& error) {
