--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -366,6 +366,9 @@
         for (Machine& machine : machines_) {
             most_resident_mb_ = std::max(most_resident_mb_, machine.child->resident_mb());
             machine.stopping = true;
+            // One that was started a moment ago has no handlers yet.
+            const Steady::time_point since = Steady::now();
+            while (!hears(machine) && ms_since(since) < kReadyWithinMs) co_await pause(5);
             machine.child->signal(SIGTERM);
         }
         for (Machine& machine : machines_) co_await watch_end(machine, false);
