Link: a long answer that has waited goes first; waiting for a turn is not an answer unread

Cause: the machine's link served the long answer with the least left first, while admission reckons in order of coming. On a full link the longest answers were passed by all that came later, for seconds; callers that end can't wait for them, and after 5 s they were cut. Change: each answer has a moment from which it is urgent (half a target past its target, or 1 s before its caller gives up); the one urgent longest goes first, else the least left. The write time counts from a piece that is not read, not from the wait for a turn; an answer whose caller has left takes no more turns.

--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -17,6 +17,11 @@
 public:
     virtual ~Client() = default;
     virtual void answer(HttpResponse response) = 0;  // exactly once for each request
+    // In place of answer(): from `urgent_at` on it goes before others on a link that long answers share.
+    virtual void answer_urgent_at(HttpResponse response, Millis urgent_at) {
+        (void)urgent_at;
+        answer(std::move(response));
+    }
 };
 
 class Front {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Millis kWriteTime = 5000;  // for an answer that the client does not read
+constexpr Millis kAlwaysUrgent = 0;  // of an answer that has waited elsewhere
 constexpr Millis kLingerTime = 500;  // for the client to read the last answer
 constexpr std::size_t kLingerBytes = 256 * 1024;
 constexpr std::chrono::milliseconds kAcceptRetry{20}, kSweep{50};
@@ -78,10 +78,12 @@
         receive();
     }
 
-    void answer(HttpResponse response) override {
+    void answer(HttpResponse response) override { answer_urgent_at(std::move(response), kAlwaysUrgent); }
+
+    void answer_urgent_at(HttpResponse response, Millis urgent_at) override {
         if (state_ != State::waiting) return;  // the client has left
         release();
-        write(std::move(response), keep_);
+        write(std::move(response), keep_, urgent_at);
     }
 
     void close() {
@@ -99,7 +101,10 @@
     bool is_due(Millis now) const { return until_ > 0 && now >= until_; }
     void time_is_up() {
         if (state_ == State::reading) return reject(http::status::request_timeout);
-        if (state_ == State::writing) log_answer_cut();
+        if (state_ == State::writing) {
+            if (waits_for_turn()) return;
+            log_answer_cut();
+        }
         close();
     }
 
@@ -156,7 +161,8 @@
             return receive();
         }
         if (ec) {
-            if (state_ != State::writing) return close();
+            // What waits for the link in turns would be written for nobody.
+            if (state_ != State::writing || paced_ != 0) return close();
             left_ = true;
             return;
         }
@@ -244,32 +250,39 @@
     }
 
     std::size_t answer_left() const { return paced_ != 0 ? owner_.link_->left(paced_) : out_.body().size(); }
+    // Its reader can do nothing about a turn that has not come: the time counts from each piece on.
+    bool waits_for_turn() {
+        if (paced_ == 0) return false;
+        const Millis now = owner_.clock_.now();
+        until_ = owner_.link_->unread_since(paced_).value_or(now) + owner_.limits_.write_time;
+        return now < until_;
+    }
     void log_answer_cut() const {
         const Millis age = owner_.clock_.now() - began_;
-        const std::string why = paced_ != 0 ? "waited too long for the link" : "was not read in time";
         log_line("listener.answer_cut",
-                 "an answer " + why + " and is cut: " + log_name_ + ", " + std::to_string(answer_left()) +
-                     " bytes left after " + std::to_string(static_cast<long>(age)) + " ms",
+                 "an answer was not read in time and is cut: " + log_name_ + ", " +
+                     std::to_string(answer_left()) + " bytes left after " +
+                     std::to_string(static_cast<long>(age)) + " ms",
                  {{"request", log_name_},
                   {"bytes_left", static_cast<std::uint64_t>(answer_left())},
-                  {"paced", paced_ != 0},
                   {"age_ms", age}});
     }
 
     void reject(http::status status) { write(HttpResponse(status, 11), false); }
 
-    void write(HttpResponse response, bool keep) {
+    void write(HttpResponse response, bool keep) { write(std::move(response), keep, kAlwaysUrgent); }
+    void write(HttpResponse response, bool keep, Millis urgent_at) {
         enter(State::writing);
         release();
         parser_.reset();
-        until_ = owner_.clock_.now() + kWriteTime;
+        until_ = owner_.clock_.now() + owner_.limits_.write_time;
         out_ = std::move(response);
         out_.version(11);
         // One that asks once and stays for good would keep the next from asking at all.
         keep = keep && !owner_.draining_ && !owner_.crowded();
         out_.keep_alive(keep);
         out_.prepare_payload();
-        if (owner_.link_ && write_paced(keep)) return;
+        if (owner_.link_ && write_paced(keep, urgent_at)) return;
         http::async_write(socket_, out_, [this, self = shared_from_this(), keep](error_code ec, std::size_t) {
             written(ec, keep);
         });
@@ -283,7 +296,7 @@
         linger();
     }
     // Long answers take turns on the machine's link. False: it is short, and goes out at once.
-    bool write_paced(bool keep) {
+    bool write_paced(bool keep, Millis urgent_at) {
         if (!owner_.link_->is_long(out_.body().size())) {
             owner_.link_->sent(out_.body().size());
             return false;
@@ -294,7 +307,7 @@
         bytes += out_.body();
         out_ = {};
         paced_ = owner_.link_->write(
-            socket_, std::move(bytes),
+            socket_, std::move(bytes), urgent_at,
             [this, self = shared_from_this(), keep](error_code ec) { written(ec, keep); });
         return true;
     }
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -22,6 +22,7 @@
         std::size_t connections = 400;
         std::size_t clients_hold = 300;     // the most that the clients' end holds for requests
         std::size_t body_bytes = 16 << 20;  // of all requests held at a time
+        Millis write_time = 5000;  // for an answer, or a piece of a paced one, that the client does not read
     };
     // `link`: by which long answers take turns; none: each is written as fast as its client reads.
     Listener(asio::io_context& io, const Clock& clock, Front& front, Limits limits,
--- a/src/net/paced_link.cpp
+++ b/src/net/paced_link.cpp
@@ -29,10 +29,10 @@
 
 PacedLink::~PacedLink() { *alive_ = false; }
 
-PacedLink::Write PacedLink::write(tcp::socket& socket, std::string bytes,
+PacedLink::Write PacedLink::write(tcp::socket& socket, std::string bytes, Millis urgent_at,
                                   std::function<void(error_code)> done) {
-    const Write write = scheduler_.add(bytes.size());
-    writing_[write] = {&socket, std::move(bytes), clock_.now(), 0, std::move(done)};
+    const Write write = scheduler_.add(bytes.size(), urgent_at);
+    writing_[write] = {&socket, std::move(bytes), clock_.now(), {}, 0, std::move(done)};
     asio::post(io_, [this, alive = alive_] {
         if (*alive) pump();
     });
@@ -49,6 +49,11 @@
     return at == writing_.end() ? 0 : at->second.bytes.size() - at->second.done;
 }
 
+std::optional<Millis> PacedLink::unread_since(Write write) const {
+    const auto at = writing_.find(write);
+    return at == writing_.end() ? std::nullopt : at->second.piece_since;
+}
+
 void PacedLink::count(const Writing& finished) {
     const Millis waited = clock_.now() - finished.since;
     ++waits_.answers;
@@ -60,6 +65,7 @@
 void PacedLink::pump() {
     while (const auto grant = scheduler_.next(clock_.now())) {
         Writing& one = writing_.at(grant->id);
+        one.piece_since = clock_.now();
         const auto piece = asio::buffer(one.bytes.data() + one.done, grant->bytes);
         // The bytes stay where they are until the operation ends, though the answer may be withdrawn before.
         auto keep = std::make_shared<std::string>(static_cast<const char*>(piece.data()), piece.size());
@@ -84,6 +90,7 @@
     const auto at = writing_.find(write);
     if (at == writing_.end()) return;  // withdrawn
     at->second.done += bytes;
+    at->second.piece_since.reset();
     if (ec) scheduler_.remove(write);
     if (ec || scheduler_.finished(write)) {
         if (!ec) count(at->second);
--- a/src/net/paced_link.hpp
+++ b/src/net/paced_link.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -27,13 +28,16 @@
     std::size_t long_from() const { return scheduler_.long_from(); }
     // A short answer is being written by its owner.
     void sent(std::size_t bytes) { scheduler_.sent(clock_.now(), bytes); }
-    // Writes `bytes` by turns; `done` once all is with the kernel, or with the error that ended it, unless
-    // withdrawn before. `socket` must live until then.
+    // Writes `bytes` by turns, urgent from `urgent_at` on; `done` once all is with the kernel, or with the
+    // error that ended it, unless withdrawn before. `socket` must live until then.
     using Write = SendScheduler::Id;
-    Write write(tcp::socket& socket, std::string bytes, std::function<void(error_code)> done);
+    Write write(tcp::socket& socket, std::string bytes, Millis urgent_at,
+                std::function<void(error_code)> done);
     void withdraw(Write write);
     // Bytes of it that the kernel has not taken.
     std::size_t left(Write write) const;
+    // Since when a piece of it waits for its reader; none: it waits for its turn.
+    std::optional<Millis> unread_since(Write write) const;
 
     // What long answers waited from write() until the kernel had all of them, since this was asked last.
     struct Waits {
@@ -52,6 +56,7 @@
         tcp::socket* socket;
         std::string bytes;
         Millis since = 0;
+        std::optional<Millis> piece_since;  // while the kernel has not taken the piece granted last
         std::size_t done = 0;
         std::function<void(error_code)> finished;
     };
--- a/src/net/send_scheduler.hpp
+++ b/src/net/send_scheduler.hpp
@@ -1,9 +1,12 @@
 // Shares one machine's link among the answers that leave it, so that a short answer never waits behind long
-// ones. Short answers go out at once; long ones in pieces, only as far ahead as the link carries in `ahead`,
-// the one with the least left first. Entry type: SendScheduler. Called by a Listener that was given one; free
-// of I/O: time is an argument, what may be written comes out.
+// ones. Short answers go out at once; long ones in pieces, only as far ahead as the link carries in `ahead`.
+// The one with the least left has the next turn, which ends most answers soonest; but on a full link it would
+// let a long answer be passed by all that come after it, so each has a moment from which it is urgent, and
+// the one that is urgent longest goes before all others. Entry type: SendScheduler. Called by a Listener that
+// was given one; free of I/O: time is an argument, what may be written comes out.
 //
 // Invariants:
+//   an urgent answer waits for none but those urgent before it, and the piece that is being written
 //   no more than `ahead` of link time is handed to the kernel in advance of what the link can have carried
 //   a waiting answer is granted one piece at a time, and none once it was removed
 #pragma once
@@ -40,8 +43,9 @@
     std::size_t long_from() const { return settings_.long_from; }
     // A short answer was written.
     void sent(Millis now, std::size_t bytes);
-    // A long answer waits to be written. Its id is good until finished() or remove().
-    Id add(std::size_t bytes);
+    // A long answer waits to be written, and is urgent from `urgent_at` on. Its id is good until finished()
+    // or remove().
+    Id add(std::size_t bytes, Millis urgent_at);
     // The piece granted last has been taken by the kernel; true: all of it has, and the id is no more.
     bool finished(Id id);
     void remove(Id id);
@@ -57,11 +61,18 @@
 
 private:
     struct Answer {
-        std::size_t left = 0, granted = 0;
+        Millis urgent_at = 0;
+        std::size_t left = 0;
     };
+    void wait(Id id, const Answer& answer);
+    void stop_waiting(Id id, const Answer& answer);
+    Id next_in_turn(Millis now) const;
+
     const Settings settings_;
     std::map<Id, Answer> answers_;
-    std::set<std::pair<std::size_t, Id>> waiting_;  // by what is left, the older first
+    // Those that wait for their turn; of two that are alike the older first.
+    std::set<std::pair<std::size_t, Id>> by_left_;
+    std::set<std::pair<Millis, Id>> by_urgency_;
     Id next_id_ = 1;
     std::size_t queued_bytes_ = 0;
     Millis link_free_at_ = 0;
--- a/src/proxy/inbound.cpp
+++ b/src/proxy/inbound.cpp
@@ -13,8 +13,15 @@
 // Taken off the time that the server is handed: it answers before its caller gives up.
 constexpr Millis kAnswerMargin = 40;
 constexpr std::size_t kConnections = 64;
+// An answer is urgent on the link once it is half a target late, or its caller gives up in so long.
+constexpr double kUrgentAfterTargets = 1.5;
+constexpr Millis kUrgentBeforeDeadline = 1000;
 constexpr std::uint64_t kMostBody = 64 << 20;
 
+Millis urgent_at(Millis came, const Hop& hop, Millis deadline) {
+    return std::min(came + kUrgentAfterTargets * hop.target_ms, deadline - kUrgentBeforeDeadline);
+}
+
 UpstreamManner manner() {
     UpstreamManner m;
     m.stamp = [](HttpRequest& message, Millis left) {
@@ -120,7 +127,7 @@
     request->erase(kHop);
     strip_hop_by_hop(*request);
     request->prepare_payload();
-    held_[ticket] = {std::move(request), std::move(client)};
+    held_[ticket] = {std::move(request), std::move(client), urgent_at(now - spent, hop, arrival.deadline)};
     requests_.arrived(now, ticket, arrival, link_state());
     return ticket;
 }
@@ -167,10 +174,11 @@
     const auto at = held_.find(ticket);
     if (at == held_.end()) return;
     const auto client = at->second.client.lock();
+    const Millis urgent_at = at->second.urgent_at;
     held_.erase(at);
     if (!client) return;
     if (around_.edition() > 0) response.set(kEdition, std::to_string(around_.edition()));
-    client->answer(std::move(response));
+    client->answer_urgent_at(std::move(response), urgent_at);
 }
 
 void Inbound::client_gone(RequestId id) {
--- a/src/proxy/inbound.hpp
+++ b/src/proxy/inbound.hpp
@@ -53,6 +53,7 @@
     struct Held {
         RequestPtr message;
         std::weak_ptr<Client> client;
+        Millis urgent_at = 0;  // from when on its answer goes before others on the link
     };
     void begin(admission::Ticket ticket, Millis until) override;
     void refuse(admission::Ticket ticket, Reason reason) override;
--- a/tests/mesh/incident_lost_link_test.cpp
+++ b/tests/mesh/incident_lost_link_test.cpp
@@ -21,6 +21,7 @@
 // The machines of nmba-mesh-grown beside a server of downloads.
 constexpr double kBytesPerMs = 12 * 125 * 0.96, kMeanBytes = 90000, kSpread = 0.6;
 constexpr Millis kTarget = 1200, kDeadline = 8000, kWork = 290, kDay = 60000, kPiece = 16;
+constexpr double kUrgentAfterTargets = 1.5;  // as proxy::Inbound
 constexpr std::uint32_t kSlots = 18;
 
 // One proxy beside a server, to which more is offered than its link bears.
@@ -89,7 +90,8 @@
             scheduler_.sent(now_, bytes);
             return written(ticket, static_cast<double>(bytes));
         }
-        writing_[scheduler_.add(bytes)] = {ticket, static_cast<double>(bytes)};
+        writing_[scheduler_.add(bytes, came_.at(ticket) + kUrgentAfterTargets * kTarget)] = {
+            ticket, static_cast<double>(bytes)};
     }
     // As PacedLink does it, with a kernel that takes each piece at once.
     void write() {
--- a/tests/mesh/send_scheduler_test.cpp
+++ b/tests/mesh/send_scheduler_test.cpp
@@ -16,7 +16,7 @@
 
 TEST_CASE("send scheduler: long answers leave at the link's rate, and short ones find it hardly taken") {
     SendScheduler scheduler(settings());
-    for (int i = 0; i < 5; ++i) scheduler.add(10000);
+    for (int i = 0; i < 5; ++i) scheduler.add(10000, 600);
     double now = 0, sent = 0;
     for (; scheduler.due(); now += 1)
         while (const auto grant = scheduler.next(now)) {
@@ -31,7 +31,7 @@
 
 TEST_CASE("send scheduler: the one with the least left is first, so that answers end one by one") {
     SendScheduler scheduler(settings());
-    const auto long_one = scheduler.add(5000), short_one = scheduler.add(2000);
+    const auto long_one = scheduler.add(5000, 1000), short_one = scheduler.add(2000, 1000);
     std::vector<SendScheduler::Id> order;
     for (double now = 0; scheduler.due(); now += 1)
         while (const auto grant = scheduler.next(now)) {
@@ -42,11 +42,30 @@
                                                   long_one, long_one});
 }
 
+TEST_CASE("send scheduler: what is urgent goes first, those longest urgent before the others") {
+    SendScheduler scheduler(settings());
+    const auto later = scheduler.add(4000, 30), sooner = scheduler.add(5000, 20),
+               never = scheduler.add(3000, 900);
+    std::vector<SendScheduler::Id> order;
+    for (double now = 0; scheduler.due(); now += 1)
+        while (const auto grant = scheduler.next(now)) {
+            order.push_back(grant->id);
+            scheduler.finished(grant->id);
+        }
+    // Ten ms of the link a piece, two of them ahead: from 10 ms on what was granted first is with the kernel.
+    CHECK(order == std::vector<SendScheduler::Id>{never, never, never, sooner, sooner, sooner, sooner, sooner,
+                                                  later, later, later, later});
+    const auto urgent = scheduler.add(3000, 0), short_one = scheduler.add(1000, 1e6);
+    CHECK(scheduler.next(500)->id == urgent);
+    scheduler.remove(urgent);
+    CHECK(scheduler.next(510)->id == short_one);
+}
+
 TEST_CASE("send scheduler: short answers count against the link, and one that leaves makes room") {
     SendScheduler scheduler(settings());
     scheduler.sent(0, 5000);
     CHECK(scheduler.backlog(0) == 50);
-    const auto id = scheduler.add(3000);
+    const auto id = scheduler.add(3000, 100);
     CHECK(scheduler.backlog(0) == 80);
     CHECK_FALSE(scheduler.next(0));
     CHECK(scheduler.due() == 40.0);
