--- a/tests/mesh/control_io_test.cpp
+++ b/tests/mesh/control_io_test.cpp
@@ -362,6 +362,27 @@
     CHECK(proxy.counts().failed >= 3);
 }
 
+TEST_SUITE("incident late: configuration") {
+    // As on a day of planned work: a third of the nodes are being restarted, and each was heard of a moment
+    // before.
+    TEST_CASE("distributor: many sources that say nothing don't hold up the control node that answers") {
+        constexpr int kSilent = 20, kFirst = 20;
+        asio::io_context io;
+        const auto port = static_cast<std::uint16_t>(base_port() + 1);
+        config::ConfigDistributor hub(io, "127.0.8.200", port), proxy(io, "127.0.8.2", port);
+        std::vector<tcp::acceptor> silent;  // the kernel takes the connection, nobody reads
+        for (int i = 0; i < kSilent; ++i) {
+            const std::string ip = "127.0.8." + std::to_string(kFirst + i);
+            silent.emplace_back(io, tcp::endpoint(asio::ip::make_address_v4(ip), port));
+            proxy.hint(ip_of(ip), 9);
+        }
+        hub.hold(table(9));
+        proxy.hint(ip_of("127.0.8.200"), 9);
+        CHECK(run_until(
+            io, [&] { return proxy.edition() == 9; }, std::chrono::milliseconds(1500)));
+    }
+}
+
 TEST_CASE("distributor: bytes that are no request end the connection") {
     asio::io_context io;
     const auto port = static_cast<std::uint16_t>(base_port() + 1);
