Configuration: asks are hedged, and all but the first go to a control node

Cause: ConfigDistributor asked one source at a time, 0.3 s each. Sources that live answer and leave the list, sources that are being restarted stay in it; with a third of the fleet restarting a catch-up took as many tries as there were dead ones before a live one, with no bound.

--- a/src/config_io/config_distributor.cpp
+++ b/src/config_io/config_distributor.cpp
@@ -8,9 +8,18 @@
 
 namespace {
 
+using End = FetchSchedule::End;
+
+// Of the steady clock, in ms.
+FetchSchedule::Millis steady_now() {
+    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
 constexpr std::uint64_t kAsk = 0x51465343, kTold = 0x41465343, kAskCurrent = 0x51435343,
                         kCurrent = 0x41435343;
 constexpr std::size_t kAskBytes = 12, kCurrentBytes = 16, kChunk = 16 * 1024;
+constexpr double kLeastRetryMs = 1;  // no timer at once, again and again
 
 void put(std::string& bytes, std::uint64_t value, int size) {
     for (int i = 0; i < size; ++i) bytes += static_cast<char>(value >> (8 * i));
@@ -160,7 +169,7 @@
     }
     held_ = std::move(configuration);
     whole_.reset();
-    std::erase_if(sources_, [&](const auto& at) { return at.second.edition <= held_->edition; });
+    schedule_.hold(held_->edition);
 }
 
 void ConfigDistributor::hold(std::shared_ptr<const Configuration> configuration) {
@@ -200,6 +209,7 @@
                                [self = shared_from_this(), had](error_code ec, std::size_t n) {
                                    if (self->over) return;
                                    self->in.resize(had + n);
+                                   if (n > 0) self->distributor.schedule_.answers(self->ip);
                                    if (ec) return self->end(ec.message());
                                    self->look();
                                });
@@ -229,19 +239,24 @@
         if (!in.empty()) return end("more bytes than an answer");
         distributor.counts_.fetched_bytes += total;
         std::string why = parts.empty() ? "has nothing newer" : "";
-        if (parts.empty()) distributor.sources_.erase(ip);  // until it is hinted again
         const Edition before = distributor.edition();
         distributor.take(parts, why);
-        newer = distributor.edition() > before;
+        if (parts.empty()) how = End::nothing_newer;
+        if (distributor.edition() > before) how = End::newer;
         end(why);
     }
     void end(const std::string& why) {
-        if (std::exchange(over, true)) return;
+        if (over) return;
+        drop();
+        if (*alive) distributor.fetched(ip, how, why);
+    }
+    // It is not wanted any more, and tells nobody.
+    void drop() {
+        over = true;
         error_code ignored;
         socket.close(ignored);
         silence.cancel();
         until.cancel();
-        if (*alive) distributor.fetched(ip, newer, why);
     }
 
     ConfigDistributor& distributor;
@@ -253,7 +268,8 @@
     std::vector<std::string> parts;
     std::size_t total = 0;
     int left = -1;  // parts; -1: not known yet
-    bool over = false, newer = false;
+    End how = End::failed;
+    bool over = false;
 };
 
 struct ConfigDistributor::AskingCurrent : std::enable_shared_from_this<AskingCurrent> {
@@ -312,37 +328,33 @@
 
 void ConfigDistributor::hint(std::uint32_t ip, Edition edition) {
     if (ip == ip_ || edition <= this->edition() || stopped_) return;
-    if (sources_.size() >= kMostSources && !sources_.count(ip)) {
-        auto least = sources_.begin();
-        for (auto at = sources_.begin(); at != sources_.end(); ++at)
-            if (at->second.edition < least->second.edition) least = at;
-        if (least->second.edition > edition) return;
-        sources_.erase(least);
-    }
-    Source& source = sources_[ip];
-    source.edition = std::max(source.edition, edition);
-    if (!fetching_) fetch();
+    schedule_.hint(ip, edition);
+    fetch();
 }
 
-// From whoever was not tried for the longest time, the newest first; nobody twice within kRetryAfter.
 void ConfigDistributor::fetch() {
-    if (fetching_ || stopped_ || sources_.empty()) return;
-    auto best = sources_.begin();
-    for (auto at = sources_.begin(); at != sources_.end(); ++at)
-        if (at->second.tried < best->second.tried ||
-            (at->second.tried == best->second.tried && at->second.edition > best->second.edition))
-            best = at;
-    const auto now = std::chrono::steady_clock::now();
-    if (best->second.tried.time_since_epoch().count() != 0 && now < best->second.tried + kRetryAfter) {
-        retry_timer_.expires_at(best->second.tried + kRetryAfter);
-        retry_timer_.async_wait([this, alive = alive_](error_code ec) {
-            if (!ec && *alive) fetch();
-        });
-        return;
+    if (stopped_) return;
+    const auto known = control_nodes ? control_nodes() : std::vector<std::uint32_t>();
+    while (const auto ip = schedule_.next(steady_now(), known)) {
+        const auto fetching = std::make_shared<Fetching>(*this, *ip);
+        fetching_[*ip] = fetching;
+        fetching->start();
+    }
+    const auto due = schedule_.due();
+    if (!due) return;
+    retry_timer_.expires_after(
+        std::chrono::microseconds(static_cast<long>(1000 * std::max(kLeastRetryMs, *due - steady_now()))));
+    retry_timer_.async_wait([this, alive = alive_](error_code ec) {
+        if (!ec && *alive) fetch();
+    });
+}
+
+// The first that brought something newer is enough: what the others would say is of before.
+void ConfigDistributor::drop_fetches() {
+    for (const auto& [ip, fetching] : std::exchange(fetching_, {})) {
+        fetching->drop();
+        schedule_.ended(ip, End::failed);
     }
-    best->second.tried = now;
-    fetching_ = std::make_shared<Fetching>(*this, best->first);
-    fetching_->start();
 }
 
 void ConfigDistributor::take(const std::vector<std::string>& parts, std::string& why) {
@@ -355,17 +367,21 @@
     }
 }
 
-void ConfigDistributor::fetched(std::uint32_t ip, bool newer, const std::string& why) {
-    fetching_.reset();
+void ConfigDistributor::fetched(std::uint32_t ip, End end, const std::string& why) {
+    fetching_.erase(ip);
+    schedule_.ended(ip, end);
     if (stopped_) return;
-    counts_.fetched += newer;
     if (!why.empty()) {
         ++counts_.failed;
         log_line("SB070 configuration not fetched",
                  "no configuration from " + asio::ip::address_v4(ip).to_string() + ": " + why,
                  {{"from", asio::ip::address_v4(ip).to_string()}, {"why", why}});
     }
-    if (newer && on_new) on_new(held_);
+    if (end == End::newer) {
+        ++counts_.fetched;
+        drop_fetches();
+        if (on_new) on_new(held_);
+    }
     fetch();
 }
 
@@ -375,7 +391,7 @@
     acceptor_.close(ignored);
     accept_timer_.cancel();
     retry_timer_.cancel();
-    if (const auto fetching = std::move(fetching_)) fetching->end("stopped");
+    drop_fetches();
 }
 
 }  // namespace cobaltshift::config
--- a/src/config_io/config_distributor.hpp
+++ b/src/config_io/config_distributor.hpp
@@ -9,24 +9,27 @@
 //                                   length (u32), as codec.hpp makes them
 //   kAskCurrent (u32), 0 (u64)   -> kCurrent (u32), CurrentAnswer::Kind (u32), edition or leader (u64)
 //
-// Bounds: kMostSources hinted, kMostServed connections served, kMostDeltas kept, of kMostDeltaBytes together,
-// one fetch at a time. Whoever says nothing for kFirstSilence, or between two parts for kSilence, is left for
-// the next source; bad bytes end the connection. It never goes back to an older edition.
+// Whom to ask, and when, is FetchSchedule's. Bounds: its own, kMostServed connections served, kMostDeltas
+// kept, of kMostDeltaBytes together. Whoever says nothing for kFirstSilence, or between two parts for
+// kSilence, is left for the next source; bad bytes end the connection. It never goes back to an older
+// edition.
 #pragma once
 
 #include <deque>
 #include <functional>
 #include <map>
+#include <vector>
 
+#include "config/fetch_schedule.hpp"
 #include "config/startup_confirmation.hpp"
 #include "net/http.hpp"
 
 namespace cobaltshift::config {
 
-constexpr std::size_t kMostSources = 32, kMostServed = 128, kMostDeltas = 64, kMostDeltaBytes = 256 * 1024;
+constexpr std::size_t kMostServed = 128, kMostDeltas = 64, kMostDeltaBytes = 256 * 1024;
 // A configuration of 4 MiB takes 5 s over 6.4 Mbit/s that nobody else uses.
 constexpr std::chrono::milliseconds kFirstSilence{300}, kSilence{1000}, kFetchWithin{30000},
-    kServeWithin{30000}, kRetryAfter{100}, kCurrentWithin{300};
+    kServeWithin{30000}, kCurrentWithin{300};
 
 class ConfigDistributor {
 public:
@@ -42,6 +45,8 @@
     Edition edition() const { return held_ ? held_->edition : 0; }
     // The node at this IPv4 (host order) has this edition.
     void hint(std::uint32_t ip, Edition edition);
+    // The control nodes that are known (IPv4, host order), for when others say nothing; none set: none.
+    std::function<std::vector<std::uint32_t>()> control_nodes;
     // Something newer was fetched.
     std::function<void(std::shared_ptr<const Configuration>)> on_new;
     // Of a control node: answers which edition is current, with a majority's word. Without it: unavailable.
@@ -69,7 +74,8 @@
     void install(std::shared_ptr<const Configuration> configuration,
                  std::shared_ptr<const std::string> delta);
     void fetch();
-    void fetched(std::uint32_t ip, bool newer, const std::string& why);
+    void fetched(std::uint32_t ip, FetchSchedule::End end, const std::string& why);
+    void drop_fetches();
     void take(const std::vector<std::string>& parts, std::string& why);
 
     asio::io_context& io_;
@@ -81,12 +87,8 @@
     std::weak_ptr<const std::string> whole_;  // of held_, while somebody is being sent it
     std::deque<Delta> deltas_;
     std::size_t delta_bytes_ = 0;
-    struct Source {
-        Edition edition = 0;
-        std::chrono::steady_clock::time_point tried{};
-    };
-    std::map<std::uint32_t, Source> sources_;
-    std::shared_ptr<Fetching> fetching_;
+    FetchSchedule schedule_;
+    std::map<std::uint32_t, std::shared_ptr<Fetching>> fetching_;  // by whom is asked
     std::size_t serving_ = 0;
     bool stopped_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -98,6 +98,7 @@
         distributor_.hint(ip, edition);
     };
     distributor_.on_new = [this](std::shared_ptr<const config::Configuration> t) { took(std::move(t)); };
+    distributor_.control_nodes = [this] { return gossip_.hubs(); };
     if (boot_.outbound) outbound_listener_.listen(*boot_.outbound);
     if (boot_.inbound) inbound_listener_.listen(*boot_.inbound);
     if (boot_.control) control_listener_.listen(*boot_.control);
