Link: answers to clients take turns too, so that the link's rate is what it can bear

Cause: the link's scheduler shares out the whole link, but only answers to other proxies went by it; those to a machine's own clients, a seventh of the link beside downloads' servers, were written as they came. The sum is more than the link bears, so a queue grew in the kernel, and answers of 200 bytes to calls with 1.2 s of time waited in it: bookings failed that way.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -82,7 +82,7 @@
       ready_([this] { return ready(); }),
       control_front_(kMostCall),
       ready_front_(kMostCall),
-      outbound_listener_(io, clock_, outbound_, limits(boot_, 0.35)),
+      outbound_listener_(io, clock_, outbound_, limits(boot_, 0.35), link_.get()),
       inbound_listener_(io, clock_, inbound_, limits(boot_, 0.25), link_.get()),
       control_listener_(io, clock_, control_front_, limits(boot_, 0.02)),
       ready_listener_(io, clock_, ready_front_, limits(boot_, 0.02)),
