--- a/tests/mesh/paced_listener_test.cpp
+++ b/tests/mesh/paced_listener_test.cpp
@@ -39,7 +39,7 @@
     std::vector<std::pair<Millis, std::weak_ptr<Client>>> waiting_;
 };
 
-// The answers' bodies in the order in which they end.
+// A client with one request.
 class Asking {
 public:
     Asking(const tcp::endpoint& at, const std::string& path) : socket_(io_) {
@@ -83,3 +83,26 @@
     io.stop();
     loop.join();
 }
+
+TEST_CASE("paced listener: two listeners on one link take no more of it than it bears") {
+    asio::io_context io(1);
+    Clock clock;
+    Together front(4);
+    PacedLink link(io, clock, kBytesPerMs);
+    Listener clients(io, clock, front, {}, &link), proxies(io, clock, front, {}, &link);
+    clients.listen({asio::ip::address_v4::loopback(), 0});
+    proxies.listen({asio::ip::address_v4::loopback(), 0});
+    std::thread loop([&io] { io.run(); });
+    const Millis begun = clock.now();
+    std::vector<std::unique_ptr<Asking>> asking;
+    for (Listener* listener : {&clients, &proxies, &clients, &proxies})
+        asking.push_back(std::make_unique<Asking>(listener->endpoint(), "/1"));
+    std::vector<std::future<std::size_t>> answers;
+    for (const auto& one : asking)
+        answers.push_back(std::async(std::launch::async, [&one] { return one->answer_bytes(); }));
+    for (auto& answer : answers) CHECK(answer.get() == kAnswerBytes);
+    // The last pieces are with the kernel a little ahead of the link.
+    CHECK(clock.now() - begun > 0.9 * 4 * kAnswerBytes / kBytesPerMs);
+    io.stop();
+    loop.join();
+}
