Link: before a proxy ends, what waits for a turn is handed to the kernel at once

An answer to a client that waits for its turn is in the process, and lost with it at the end of the grace time; before clients' answers were paced it was in the kernel, which delivers on. Change: from the moment at which what is held is answered, the link gives no more turns. What is left there in both: 5 and 9 answers that wait over 10 s, as clients ask for more than their link bears; nothing refuses at the caller for its own link.

--- a/src/net/paced_link.cpp
+++ b/src/net/paced_link.cpp
@@ -44,6 +44,11 @@
     writing_.erase(write);
 }
 
+void PacedLink::release() {
+    scheduler_.release();
+    pump();
+}
+
 std::size_t PacedLink::left(Write write) const {
     const auto at = writing_.find(write);
     return at == writing_.end() ? 0 : at->second.bytes.size() - at->second.done;
--- a/src/net/paced_link.hpp
+++ b/src/net/paced_link.hpp
@@ -34,6 +34,8 @@
     Write write(tcp::socket& socket, std::string bytes, Millis urgent_at,
                 std::function<void(error_code)> done);
     void withdraw(Write write);
+    // No more turns: what waits and what comes is handed to the kernel at once, before the process ends.
+    void release();
     // Bytes of it that the kernel has not taken.
     std::size_t left(Write write) const;
     // Since when a piece of it waits for its reader; none: it waits for its turn.
--- a/src/net/send_scheduler.cpp
+++ b/src/net/send_scheduler.cpp
@@ -51,11 +51,11 @@
 }
 
 std::optional<SendScheduler::Grant> SendScheduler::next(Millis now) {
-    if (by_left_.empty() || now + settings_.ahead < link_free_at_) return {};
+    if (by_left_.empty() || (!released_ && now + settings_.ahead < link_free_at_)) return {};
     const Id id = next_in_turn(now);
     Answer& answer = answers_.at(id);
     stop_waiting(id, answer);
-    const std::size_t granted = std::min(settings_.piece, answer.left);
+    const std::size_t granted = released_ ? answer.left : std::min(settings_.piece, answer.left);
     answer.left -= granted;
     queued_bytes_ -= granted;
     sent(now, granted);
--- a/src/net/send_scheduler.hpp
+++ b/src/net/send_scheduler.hpp
@@ -50,6 +50,10 @@
     bool finished(Id id);
     void remove(Id id);
 
+    // From now on all that waits, and all that comes, may be written at once and whole: the process ends
+    // soon, and what is with the kernel by then still leaves.
+    void release() { released_ = true; }
+
     // Who may write now; none: nobody, look again at due().
     std::optional<Grant> next(Millis now);
     // When next() may grant something; none: nobody waits.
@@ -76,6 +80,7 @@
     Id next_id_ = 1;
     std::size_t queued_bytes_ = 0;
     Millis link_free_at_ = 0;
+    bool released_ = false;
 };
 
 }  // namespace cobaltshift
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -259,6 +259,7 @@
             if (outbound_.busy())
                 log_line("GD011 answers what it holds",
                          "the grace time is nearly over: requests that are held are answered as they are");
+            if (link_) link_->release();
             return outbound_.answer_all();
         case shutdown::Step::end:
             log_unanswered();
--- a/tests/mesh/paced_listener_test.cpp
+++ b/tests/mesh/paced_listener_test.cpp
@@ -106,3 +106,28 @@
     io.stop();
     loop.join();
 }
+
+TEST_CASE(
+    "paced listener: before the process ends, what waits for its turn is handed to the kernel at once") {
+    constexpr double kSlowBytesPerMs = 10;  // 24 s for what waits
+    asio::io_context io(1);
+    Clock clock;
+    Together front(4);
+    PacedLink link(io, clock, kSlowBytesPerMs);
+    Listener listener(io, clock, front, {}, &link);
+    listener.listen({asio::ip::address_v4::loopback(), 0});
+    std::thread loop([&io] { io.run(); });
+    const Millis begun = clock.now();
+    std::vector<std::unique_ptr<Asking>> asking;
+    for (int i = 0; i < 4; ++i) asking.push_back(std::make_unique<Asking>(listener.endpoint(), "/1"));
+    std::vector<std::future<std::size_t>> answers;
+    for (const auto& one : asking)
+        answers.push_back(std::async(std::launch::async, [&one] { return one->answer_bytes(); }));
+    std::promise<void> released;
+    asio::post(io, [&] { link.release(), released.set_value(); });
+    released.get_future().wait();
+    for (auto& answer : answers) CHECK(answer.get() == kAnswerBytes);
+    CHECK(clock.now() - begun < 0.5 * 4 * kAnswerBytes / kSlowBytesPerMs);
+    io.stop();
+    loop.join();
+}
