Soak: servers that turn requests away, answer twice and late, and are replaced

Change: its servers have slots and connections that run out, refuse as the users' wire examples do (503 with Not-Run, 421, neither with an id), send an answer's copy late, refuse long requests before they are read, reset after a run, say Connection: close, and are replaced in order or by a crash at the same address. Two families more: refusing servers (all of that), crowded servers (16 clients a proxy, and 1 % late refusals that name no request); freezes of proxies beside kills. Findings say where and when a request ran and which proxy refused it; COBALTSHIFT_SOAK_LOGS keeps the processes' logs.

--- a/src/lab/child.cpp
+++ b/src/lab/child.cpp
@@ -38,6 +38,7 @@
 Child::Child(asio::io_context& io, const Command& command, std::function<void(tcp::endpoint)> listening)
     : log_(std::make_shared<Log>(io)) {
     log_->listening = std::move(listening);
+    if (!command.log_file.empty()) log_->file.open(command.log_file, std::ios::app);
     int ends[2];
     if (::pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
     std::vector<std::string> words{command.program}, variables = command.environment;
@@ -77,6 +78,7 @@
     log->pipe.async_read_some(asio::buffer(log->chunk), [log](error_code ec, std::size_t n) {
         if (ec) return;
         log->text.append(log->chunk.data(), n);
+        if (log->file.is_open()) log->file.write(log->chunk.data(), static_cast<std::streamsize>(n)).flush();
         for (std::size_t end; (end = log->text.find('\n')) != std::string::npos;
              log->text.erase(0, end + 1)) {
             static const std::string says = "listens on ";
--- a/src/lab/child.hpp
+++ b/src/lab/child.hpp
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <fstream>
 #include <functional>
 #include <optional>
 #include <string>
@@ -33,6 +34,7 @@
         std::string program;
         std::vector<std::string> arguments;
         std::vector<std::string> environment;  // NAME=VALUE, on top of ours
+        std::string log_file = "";  // its whole log is appended to this file; empty: it is not kept
     };
     // `listening` is called once, with the address, when its log says "listens on ADDRESS".
     Child(asio::io_context& io, const Command& command, std::function<void(tcp::endpoint)> listening);
@@ -60,6 +62,7 @@
         explicit Log(asio::io_context& io) : pipe(io) {}
         asio::posix::stream_descriptor pipe;
         std::string text, last;
+        std::ofstream file;
         std::array<char, 1024> chunk;
         std::function<void(tcp::endpoint)> listening;
     };
--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
+#include <filesystem>
 
 #include "lab/child.hpp"
 #include "lab/soak_client.hpp"
@@ -26,33 +27,58 @@
 constexpr std::uint16_t kControlPort = 8620, kInboundPort = 8624, kReadinessPort = 8625, kAppPort = 8628,
                         kOutboundPort = 8629;
 constexpr double kGraceMs = 6000;
-constexpr std::size_t kControls = 3, kClientsAProxy = 4;
+constexpr std::size_t kControls = 3;
 constexpr double kReadyWithinMs = 40000, kReadBackWithinMs = 10000, kClientsEndWithinMs = 14000;
 constexpr double kMostStoppingAtOnce = 0.4;  // of the proxies
+constexpr double kMinFreezeMs = 50, kMaxFreezeMs = 1200;
+
+struct Family {
+    const char* name;
+    bool kills = false;    // and freezes; else planned work alone: nothing may be lost
+    double link_mbps = 0;  // of each proxy's machine, by which long answers take turns; 0: not known
+    std::size_t clients_per_proxy = 4;
+    SoakServerHabits servers = {};
+};
+
+// Few slots and connections for what the clients ask, and every habit of the users' pages.
+constexpr SoakServerHabits kRefusingServers{.capacity = 3,
+                                            .max_connections = 8,
+                                            .late_copy = 0.05,
+                                            .early_refusal = 0.05,
+                                            .reset_after_run = 0.01,
+                                            .closing_answer = 0.02,
+                                            .replaced = true};
+constexpr SoakServerHabits with_nameless_refusals(SoakServerHabits habits) {
+    habits.nameless_refusal = 0.01;
+    return habits;
+}
+
+// A link of 5 Mbit/s is nearly full with what these clients ask for.
+constexpr std::array<Family, 5> kFamilies{
+    {{.name = "planned work alone"},
+     {.name = "with kills", .kills = true},
+     {.name = "narrow links", .link_mbps = 5},
+     {.name = "refusing servers", .kills = true, .servers = kRefusingServers},
+     {.name = "crowded servers",
+      .kills = true,
+      .clients_per_proxy = 16,
+      .servers = with_nameless_refusals(kRefusingServers)}}};
 
 struct Plan {
+    Family family;
     std::size_t proxies = 6;
     double seconds = 25;
-    bool kills = false;    // else planned work alone: nothing may be lost
-    double link_mbps = 0;  // of each proxy's machine, by which long answers take turns; 0: not known
     // Past the grace time, for a process to be gone; of a request that crossed a close (lost_s).
     double end_late_ms = 400, crossed_within_ms = 200;
+    std::string log_folder;  // where the processes' logs are kept; empty: they are not
 };
 
-struct Family {
-    const char* name;
-    bool kills;
-    double link_mbps;
-};
-// A link of 5 Mbit/s is nearly full with what these clients ask for.
-constexpr std::array<Family, 3> kFamilies{
-    {{"planned work alone", false, 0}, {"with kills", true, 0}, {"narrow links", false, 5}}};
-
 struct Machine {
     std::string name, ip, program, settings, file;
     std::unique_ptr<Child> child;
     bool stopping = false;
     bool killed = false;
+    bool frozen = false;
 };
 
 double ms_since(Steady::time_point at) {
@@ -119,8 +145,8 @@
             machine.settings +=
                 "serves=dispatch\ncounted=true\ndata_dir=" + folder_.path() + "/" + machine.name + "\n";
         } else {
-            if (plan_.link_mbps > 0)
-                machine.settings += "limits.link_mbps=" + std::to_string(plan_.link_mbps) + "\n";
+            if (plan_.family.link_mbps > 0)
+                machine.settings += "limits.link_mbps=" + std::to_string(plan_.family.link_mbps) + "\n";
             machine.settings += "serves=branch\ncounted=false\nservice=goods\n" +
                                 at("listen.inbound", kInboundPort) + at("listen.outbound", kOutboundPort) +
                                 at("listen.readiness", kReadinessPort) + at("app_address", kAppPort);
@@ -141,7 +167,12 @@
         write_settings(machine, first);
         machine.stopping = machine.killed = false;
         machine.child = std::make_unique<Child>(
-            io_, Child::Command{machine.program, {}, {"COBALTSHIFT_BOOT=" + machine.file}}, nullptr);
+            io_,
+            Child::Command{machine.program,
+                           {},
+                           {"COBALTSHIFT_BOOT=" + machine.file},
+                           plan_.log_folder.empty() ? "" : plan_.log_folder + "/" + machine.name + ".log"},
+            nullptr);
     }
 
     Machine& proxy(std::size_t number) { return machines_.at(kControls + number); }
@@ -180,7 +211,7 @@
         return machine.child->catches(SIGTERM) && machine.child->catches(SIGHUP);
     }
     void stop(Machine& machine, int signal) {
-        if (machine.stopping || !hears(machine)) return;
+        if (machine.stopping || machine.frozen || !hears(machine)) return;
         most_resident_mb_ = std::max(most_resident_mb_, machine.child->resident_mb());
         machine.stopping = true;
         machine.killed = signal == SIGKILL;
@@ -189,6 +220,15 @@
         asio::co_spawn(io_, watch_end(machine, true), asio::detached);
     }
 
+    awaitable<void> freeze(Machine& machine) {
+        machine.frozen = true;
+        ++struck_["frozen"];
+        machine.child->signal(SIGSTOP);
+        co_await pause(kMinFreezeMs + (kMaxFreezeMs - kMinFreezeMs) * random_.unit());
+        machine.child->signal(SIGCONT);
+        machine.frozen = false;
+    }
+
     // ---- The day -----------------------------------------------------------------------------------------
 
     awaitable<void> pause(double ms) {
@@ -200,14 +240,14 @@
         for (Machine& machine : machines_) start(machine, true);
         for (std::size_t i = 0; i < plan_.proxies; ++i)
             start_soak_server(io_, {proxy(i).ip, "goods", "i-" + std::to_string(i), kAppPort, kControlPort},
-                              ledger_, 1 + random_.below(1 << 30), servers_stopped_);
+                              plan_.family.servers, ledger_, 1 + random_.below(1 << 30), servers_stopped_);
         co_await change_configuration();
         const bool ready = co_await all_ready();
         if (!ready) {
             ledger_.accuse("READY", "not all proxies were ready in time");
             co_return end();
         }
-        for (std::size_t i = 0; i < plan_.proxies * kClientsAProxy; ++i)
+        for (std::size_t i = 0; i < plan_.proxies * plan_.family.clients_per_proxy; ++i)
             start_soak_client(clients_, 1 + random_.below(1 << 30));
         const Steady::time_point begun = Steady::now();
         asio::co_spawn(io_, change_series(), asio::detached);
@@ -223,7 +263,7 @@
             ledger_.accuse("HELD", std::to_string(clients_.open) + " clients still wait after the end");
         co_await read_back();
         co_await stop_all();
-        ledger_.close(!plan_.kills, plan_.crossed_within_ms);
+        ledger_.close(!plan_.family.kills, plan_.crossed_within_ms);
         end();
     }
 
@@ -253,7 +293,11 @@
             ++struck_["SIGHUP with changed settings"];
         } else if (lot < 0.93) {
             if (!control_stopping()) stop(machines_[random_.below(kControls)], SIGTERM);
-        } else if (plan_.kills) {
+        } else if (lot < 0.965) {
+            Machine& machine = drawn_proxy();
+            if (plan_.family.kills && !machine.stopping && !machine.frozen)
+                asio::co_spawn(io_, freeze(machine), asio::detached);
+        } else if (plan_.family.kills) {
             Machine& machine = random_.unit() < 0.2 ? machines_[random_.below(kControls)] : drawn_proxy();
             if (machine.name.starts_with("proxy") || !control_stopping()) stop(machine, SIGKILL);
         }
@@ -409,6 +453,16 @@
     return wanted ? static_cast<std::size_t>(std::max(2, std::atoi(wanted))) : otherwise;
 }
 
+// Where COBALTSHIFT_SOAK_LOGS names a folder, each family of a seed has one of its own in it.
+std::string log_folder(std::uint64_t seed, std::string family) {
+    const char* folder = std::getenv("COBALTSHIFT_SOAK_LOGS");
+    if (!folder) return {};
+    std::replace(family.begin(), family.end(), ' ', '-');
+    const std::string own = std::string(folder) + "/" + std::to_string(seed) + "-" + family;
+    std::filesystem::create_directories(own);
+    return own;
+}
+
 }  // namespace
 
 Result soak(const Run& run) {
@@ -417,10 +471,10 @@
         {"family", "requests", "served", "refused", "failed", "closed", "crossed", "changes", "broken"});
     for (const Family& family : kFamilies) {
         Plan plan;
+        plan.family = family;
         plan.proxies = proxies_wanted(run.quick ? 6 : 12);
         plan.seconds = run.quick ? 15 : 45;
-        plan.kills = family.kills;
-        plan.link_mbps = family.link_mbps;
+        plan.log_folder = log_folder(run.seed, family.name);
         // The quick run is CI's, and its verdict must not hang on how busy the machine is.
         if (run.quick) plan.end_late_ms = 6000, plan.crossed_within_ms = 2000;
         Soak one(plan, run.seed * kFamilies.size() + static_cast<std::size_t>(&family - kFamilies.data()));
--- a/src/lab/soak_client.cpp
+++ b/src/lab/soak_client.cpp
@@ -84,7 +84,7 @@
             if (!connected_ || (!written && requests.size() > 1 && &request != &requests[0])) {
                 clients_.ledger.ended(
                     request, closing || written ? SoakEnd::closed_unanswered : SoakEnd::closed_before,
-                    ms_since(last_byte));
+                    ms_since(last_byte), proxy_);
                 continue;
             }
             const bool last = co_await read_answer(request, written, last_byte);
@@ -131,7 +131,7 @@
             if (error == beast::error::timeout)
                 clients_.ledger.held(request, proxy_, ms_since(last_byte), written ? "" : write_fault_);
             clients_.ledger.ended(request, written ? SoakEnd::closed_unanswered : SoakEnd::closed_before,
-                                  ms_since(last_byte));
+                                  ms_since(last_byte), proxy_);
             co_return true;
         }
         const HttpResponse response = parser.release();
@@ -154,7 +154,7 @@
                               success   ? SoakEnd::served
                               : promise ? SoakEnd::refused
                                         : SoakEnd::failed,
-                              after_ms);
+                              after_ms, proxy_ + " with " + std::to_string(status));
     }
 
     SoakClients& clients_;
--- a/src/lab/soak_ledger.cpp
+++ b/src/lab/soak_ledger.cpp
@@ -20,16 +20,29 @@
     }
     return "";
 }
+
+std::string time_text(double ms) { return std::to_string(static_cast<long>(ms)) + " ms"; }
 }  // namespace
 
-void SoakLedger::ended(const SoakRequest& request, SoakEnd end, double after_ms) {
+void SoakLedger::ran(const std::string& id, const std::string& where) {
+    Runs& runs = runs_[id];
+    ++runs.count;
+    runs.places += (runs.count > 1 ? ", " : "") + where + " at " + time_text(now_ms());
+}
+
+void SoakLedger::ended(const SoakRequest& request, SoakEnd end, double after_ms, const std::string& by) {
     ++requests_;
     ++ends_[name_of(end)];
     if (request.registered) registered_.push_back(request);
-    if (request.registered && end == SoakEnd::refused) refused_.push_back(request);
+    if (request.registered && end == SoakEnd::refused) refused_.push_back({request.id, by, now_ms()});
     if (end == SoakEnd::closed_unanswered) unanswered_.push_back({request, after_ms});
 }
 
+std::string SoakLedger::places_of(const std::string& id) const {
+    const auto runs = runs_.find(id);
+    return runs == runs_.end() ? "nowhere" : runs->second.places;
+}
+
 void SoakLedger::accuse(const std::string& rule, const std::string& what) {
     ++broken_[rule];
     if (findings_.size() < kMostFindings) findings_.push_back(rule + ": " + what);
@@ -37,20 +50,22 @@
 
 void SoakLedger::held(const SoakRequest& request, const std::string& proxy, double after_ms,
                       const std::string& write_fault) {
-    const auto runs = runs_.find(request.id);
     accuse("HELD", request.id + (request.registered ? " (registered)" : " (plain)") + " to " + proxy +
                        " had no answer " + std::to_string(static_cast<long>(after_ms)) +
                        " ms after its last byte" +
                        (write_fault.empty() ? "" : ", not written whole (" + write_fault + ")") + "; ran " +
-                       std::to_string(runs == runs_.end() ? 0 : runs->second) + " times");
+                       places_of(request.id));
 }
 
 void SoakLedger::close(bool planned_work_alone, double crossed_within_ms) {
     const auto has_run = [this](const std::string& id) { return runs_.count(id) > 0; };
     for (const SoakRequest& request : registered_)
-        if (has_run(request.id) && runs_[request.id] > 1) accuse("TWICE", request.id + " ran twice");
-    for (const SoakRequest& request : refused_)
-        if (has_run(request.id)) accuse("REFUSED", request.id + " was refused and has run");
+        if (has_run(request.id) && runs_[request.id].count > 1)
+            accuse("TWICE", request.id + " ran " + places_of(request.id));
+    for (const Refused& refused : refused_)
+        if (has_run(refused.id))
+            accuse("REFUSED", refused.id + " was refused by " + refused.by + " at " +
+                                  time_text(refused.at_ms) + " and ran " + places_of(refused.id));
     for (const Unanswered& one : unanswered_) {
         const bool crossed =
             !has_run(one.request.id) && (one.after_ms < crossed_within_ms || one.request.behind_close);
--- a/src/lab/soak_ledger.hpp
+++ b/src/lab/soak_ledger.hpp
@@ -2,6 +2,7 @@
 // SoakLedger. Called by the soak's clients and stand-in servers; free of I/O.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -27,9 +28,10 @@
 
 class SoakLedger {
 public:
-    void ran(const std::string& id) { ++runs_[id]; }
-    // `after_ms`: from the request's last byte to the end.
-    void ended(const SoakRequest& request, SoakEnd end, double after_ms);
+    // A server has begun work on the request. `where`: the server and its connection.
+    void ran(const std::string& id, const std::string& where);
+    // `after_ms`: from the request's last byte to the end. `by`: the proxy's address and its status.
+    void ended(const SoakRequest& request, SoakEnd end, double after_ms, const std::string& by);
     // No answer long after its deadline.
     void held(const SoakRequest& request, const std::string& proxy, double after_ms,
               const std::string& write_fault);
@@ -46,13 +48,29 @@
     std::uint64_t crossed() const { return crossed_; }
 
 private:
+    using Steady = std::chrono::steady_clock;
     struct Unanswered {
         SoakRequest request;
         double after_ms;
     };
-    std::unordered_map<std::string, unsigned> runs_;
+    struct Refused {
+        std::string id, by;
+        double at_ms;  // since the soak's start
+    };
+    struct Runs {
+        unsigned count = 0;
+        std::string places;  // of all of them, with their times
+    };
+    double now_ms() const {
+        return std::chrono::duration<double, std::milli>(Steady::now() - start_).count();
+    }
+    std::string places_of(const std::string& id) const;
+
+    const Steady::time_point start_ = Steady::now();
+    std::unordered_map<std::string, Runs> runs_;
     std::vector<Unanswered> unanswered_;
-    std::vector<SoakRequest> refused_, registered_;
+    std::vector<Refused> refused_;
+    std::vector<SoakRequest> registered_;
     std::map<std::string, std::uint64_t> ends_, broken_;
     std::vector<std::string> findings_;
     std::uint64_t requests_ = 0, crossed_ = 0;
