Sight: by what proof a request was refused, and what comes late on a connection

Need: the log could not tell the hypotheses of incident REFUSED apart: one figure for all refusals, "unreachable" for no connection and for a request cut short, "full" for an admission's word and for an answer without a verdict, and nothing of bytes that come after an answer. Change: GD013 (refusals by their proof; answers to other requests, late inputs, requests cut short), GD014 (a server's own refusal, and whether it names the request), upstream.late_input (the bytes on an idle connection). No decision changes.

--- a/src/exchange/connection_pool.hpp
+++ b/src/exchange/connection_pool.hpp
@@ -24,12 +24,11 @@
 //   void watch_idle(const ConnectionPtr&)   calls idle_readable() on input or end; may free the buffers
 //   void set_timer(const ConnectionPtr&, Millis at)    replaces the timer set before; calls timer_fired()
 //   void cancel_timer(Connection&)
-//   void close(Connection&)
-//   bool is_stray(const Connection&, const Response&)  whether the answer belongs to another request
-//   Outcome judge(const Response&)
-//   Millis keep_alive_time(const Response&) the keep-alive time that the server announces; 0: none
-//   void attempt_ended(AttemptKey, Outcome, Response*)
-//   void probe_ended(ServerId, Outcome, Millis duration)
+//   bool late_input(const ConnectionPtr&)   whether an idle connection that is not reusable has input; logs
+//   it void close(Connection&) bool is_stray(const Connection&, const Response&)  whether the answer belongs
+//   to another request Outcome judge(const Response&) Millis keep_alive_time(const Response&) the keep-alive
+//   time that the server announces; 0: none void attempt_ended(AttemptKey, Outcome, Response*) void
+//   probe_ended(ServerId, Outcome, Millis duration)
 #pragma once
 
 #include <algorithm>
@@ -54,6 +53,13 @@
 
 enum class ConnectionState { connecting, writing, reading, idle, closed };
 
+// What has happened on connections besides requests and their own answers.
+struct Irregularities {
+    std::uint64_t other_answers = 0;  // answers to another request, in the place of one to the own
+    std::uint64_t late_inputs = 0;    // idle connections that were closed as input came on them
+    std::uint64_t cut_short = 0;      // requests of which only a part was written
+};
+
 // What a Transport reports together with an answer.
 struct AnswerEnd {
     bool keep_alive = false;    // both ends allow the connection to be reused
@@ -181,13 +187,16 @@
     // The last byte of the request has been written.
     void written(const ConnectionPtr& connection) { read(connection); }
 
-    // A server starts a request only once it has the last byte, so this one has not run.
-    void write_failed(const ConnectionPtr& connection) {
+    // A server starts a request only once it has the last byte, so this one has not run. `any_written`: some
+    // bytes of it were written.
+    void write_failed(const ConnectionPtr& connection, bool any_written) {
+        irregularities_.cut_short += any_written ? 1 : 0;
         end(connection, Outcome::refused_connection, nullptr, false);
     }
 
     void answered(const ConnectionPtr& connection, Response&& response, AnswerEnd how) {
         if (!connection->job->probe && transport_.is_stray(*connection, response)) {
+            ++irregularities_.other_answers;
             if (std::exchange(connection->stray_seen, true) || !how.keep_alive) return broken(connection);
             return read(connection);
         }
@@ -204,8 +213,9 @@
 
     // An idle connection that has received input or has ended must not be reused.
     void idle_readable(const ConnectionPtr& connection) {
-        if (connection->state == ConnectionState::idle && !transport_.is_reusable(*connection))
-            drop(connection);
+        if (connection->state != ConnectionState::idle || transport_.is_reusable(*connection)) return;
+        note_late_input(connection);
+        drop(connection);
     }
 
     void timer_fired(const ConnectionPtr& connection) {
@@ -222,6 +232,7 @@
     std::size_t open() const { return open_; }
     std::size_t out() const { return attempts_.size(); }
     std::size_t groups() const { return groups_.size(); }
+    const Irregularities& irregularities() const { return irregularities_; }
 
 private:
     void start(std::unique_ptr<Job> job, ServerId server, const Endpoint& to) {
@@ -272,7 +283,9 @@
         const Millis settled = transport_.now() - limits_.reuse_delay;
         for (std::size_t i = group->idle.size(); i-- > 0;) {
             ConnectionPtr connection = group->idle[i];
-            if (connection->to != to || !transport_.is_reusable(*connection)) {
+            const bool reusable = transport_.is_reusable(*connection);
+            if (!reusable) note_late_input(connection);
+            if (connection->to != to || !reusable) {
                 drop(connection);
                 continue;
             }
@@ -284,6 +297,11 @@
         return nullptr;
     }
 
+    // An idle connection is not reusable: it has ended, or input has come that belongs to no request.
+    void note_late_input(const ConnectionPtr& connection) {
+        if (transport_.late_input(connection)) ++irregularities_.late_inputs;
+    }
+
     void write(const ConnectionPtr& connection) {
         connection->state = ConnectionState::writing;
         transport_.write(connection);
@@ -346,6 +364,7 @@
     std::unordered_map<ServerId, std::shared_ptr<Group>> groups_;  // only groups with connections
     std::size_t open_ = 0;
     std::uint64_t opened_ = 0;
+    Irregularities irregularities_;
 };
 
 }  // namespace cobaltshift::exchange
--- a/src/hop/attempt_rules.cpp
+++ b/src/hop/attempt_rules.cpp
@@ -51,6 +51,7 @@
 }
 
 HopAttemptResult AttemptRules::interpret(const NoAnswer& end, RequestHistory& history) {
+    history.newest_failure.reset();
     history.reason = end.outcome == Outcome::timed_out ? Reason::silent : Reason::unreachable;
     if (end.outcome == Outcome::refused_connection || end.outcome == Outcome::not_sent)
         return {{end.outcome, false, false}};
@@ -60,6 +61,7 @@
 
 HopAttemptResult AttemptRules::interpret(const Failure& failure, RequestHistory& history) {
     history.reason = failure.reason;
+    history.newest_failure = failure;
     if (failure.execution != Execution::not_run || failure.reason == Reason::repeated) {
         ++counts_.broken;
         return ran(history, failure.reason == Reason::silent ? Outcome::timed_out : Outcome::connection_lost,
@@ -89,6 +91,18 @@
         {history.may_have_run ? Execution::may_have_run : Execution::not_run, history.reason});
 }
 
+void AttemptRules::count_refused(const RequestHistory& history) {
+    Refusals& refused = counts_.refused;
+    if (!history.newest_failure)
+        ++refused.unsent;
+    else if (history.newest_failure->reason == Reason::turned_away)
+        ++refused.by_server;
+    else if (history.newest_failure->reason == Reason::unreachable)
+        ++refused.server_unreachable;
+    else
+        ++refused.by_admission;
+}
+
 Millis AttemptRules::retry_in(Millis advised) { return std::clamp(advised, kMinRetryMs, kMaxRetryMs); }
 
 unsigned AttemptRules::failure_status(Reason reason) {
--- a/src/hop/attempt_rules.hpp
+++ b/src/hop/attempt_rules.hpp
@@ -26,8 +26,9 @@
     unsigned sent = 0;              // all attempts, including those that no server received
     unsigned counted_attempts = 0;  // attempts that may have run or that a server itself refused
     bool may_have_run = false;
-    std::string server;                 // instance id of the newest attempt's server
-    Reason reason = Reason::no_server;  // of the newest failure
+    std::optional<Failure> newest_failure;  // that another proxy reported; none: no attempt got so far
+    std::string server;                     // instance id of the newest attempt's server
+    Reason reason = Reason::no_server;      // of the newest failure
 };
 
 // How an attempt ended: NoAnswer, a Failure that the other proxy reported, or ServerAnswered.
@@ -66,11 +67,22 @@
 
     // `bounced`: attempts that an admission refused or that found no connection; `vetoed`: attempts that
     // may_send() forbade; `broken`: attempts that may have run and got no valid answer.
+    // `refused` by what proved that the request had not run, that is, by how its newest attempt ended.
+    struct Refusals {
+        std::uint64_t unsent = 0;              // no attempt, or none that found a connection
+        std::uint64_t by_admission = 0;        // refused by the proxy beside a server
+        std::uint64_t by_server = 0;           // turned away by a server itself
+        std::uint64_t server_unreachable = 0;  // the proxy beside a server found no connection to it
+        std::uint64_t total() const { return unsent + by_admission + by_server + server_unreachable; }
+    };
     struct Counts {
-        std::uint64_t requests = 0, tries = 0, bounced = 0, vetoed = 0, broken = 0, refused = 0, failed = 0;
+        std::uint64_t requests = 0, tries = 0, bounced = 0, vetoed = 0, broken = 0, failed = 0;
+        std::uint64_t unmarked = 0;  // answers of other proxies without a verdict
+        Refusals refused;
     };
     const Counts& counts() const { return counts_; }
-    void count_refused() { ++counts_.refused; }
+    void count_refused(const RequestHistory& history);
+    void count_unmarked() { ++counts_.unmarked; }
     void count_failed() { ++counts_.failed; }
 
 private:
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -13,6 +13,7 @@
 namespace {
 constexpr std::size_t kReadBytes = 4096;
 constexpr int kMaxInterimResponses = 16;
+constexpr std::size_t kLoggedInputBytes = 150;  // of input that belongs to no request
 // Unread data in the kernel counts towards the process's memory, and an endless answer fills that buffer at
 // once.
 constexpr int kReceiveBufferBytes = 64 * 1024;
@@ -136,7 +137,7 @@
 void Upstream::wrote(const ConnectionPtr& connection, error_code ec, std::size_t bytes) {
     Channel& channel = connection->channel;
     channel.output_written += bytes;
-    if (ec) return pool_.write_failed(connection);
+    if (ec) return pool_.write_failed(connection, channel.output_written > 0);
     if (channel.output_written == channel.output.size()) return pool_.written(connection);
     const auto remaining = asio::buffer(channel.output) + channel.output_written;
     channel.socket.async_write_some(remaining, [this, connection](error_code error, std::size_t n) {
@@ -196,6 +197,17 @@
     return peek(connection.channel.socket) == PendingInput::nothing;
 }
 
+bool Upstream::late_input(const ConnectionPtr& connection) {
+    char bytes[kLoggedInputBytes];
+    const auto n =
+        ::recv(connection->channel.socket.native_handle(), bytes, sizeof bytes, MSG_PEEK | MSG_DONTWAIT);
+    if (n <= 0) return false;  // its end
+    std::string start(bytes, static_cast<std::size_t>(n));
+    log_line("upstream.late_input", "input on an idle connection, which is closed: " + start,
+             {{"input", start}});
+    return true;
+}
+
 void Upstream::watch_idle(const ConnectionPtr& connection) {
     Channel& channel = connection->channel;
     if (channel.output.capacity() > kReadBytes) channel.output = std::string();
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -67,6 +67,7 @@
         std::uint64_t opened = 0;  // connections opened since the process started
     };
     Counts counts() const { return {pool_.opened()}; }
+    const exchange::Irregularities& irregularities() const { return pool_.irregularities(); }
     std::size_t open() const { return pool_.open(); }      // open connections
     std::size_t in_flight() const { return pool_.out(); }  // attempts in flight
     std::size_t pools() const { return pool_.groups(); }   // servers with connections
@@ -87,6 +88,7 @@
     void write(const ConnectionPtr& connection);
     void read(const ConnectionPtr& connection);
     bool is_reusable(Connection& connection);
+    bool late_input(const ConnectionPtr& connection);
     void watch_idle(const ConnectionPtr& connection);
     void set_timer(const ConnectionPtr& connection, Millis at);
     void cancel_timer(Connection& connection);
--- a/src/proxy/inbound.cpp
+++ b/src/proxy/inbound.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/http/empty_body.hpp>
 
 #include "hop/server_answer.hpp"
+#include "log/log.hpp"
 #include "net/form.hpp"
 
 namespace cobaltshift::proxy {
@@ -154,6 +155,8 @@
     admission::ServerResult end;
     end.success = outcome == Outcome::completed;
     HttpResponse said;
+    const unsigned status = response ? response->result_int() : 0;
+    const bool named = response && response->count(kRequestId) > 0;
     if (response) {
         end.answer_bytes = response->body().size();
         said = leaf::try_handle_all(
@@ -171,10 +174,22 @@
         end.failure = hop::failure_without_answer(outcome);
         said = proxy_answer(*end.failure);
     }
+    if (response && end.failure && end.failure->reason == Reason::turned_away)
+        log_turned_away(ticket, status, named);
     requests_.ended(clock_.now(), ticket, end);
     answer(ticket, std::move(said));
 }
 
+void Inbound::log_turned_away(admission::Ticket ticket, unsigned status, bool named) const {
+    const auto held = held_.find(ticket);
+    if (held == held_.end()) return;
+    const std::string id((*held->second.message)[kRequestId]);
+    log_line("GD014 turned away",
+             "the server answered " + id + " with " + std::to_string(status) +
+                 (named ? " under its id" : " and named no request"),
+             {{"request", id}, {"status", std::uint64_t{status}}, {"named", named}});
+}
+
 void Inbound::answer(admission::Ticket ticket, HttpResponse response) {
     const auto at = held_.find(ticket);
     if (at == held_.end()) return;
--- a/src/proxy/inbound.hpp
+++ b/src/proxy/inbound.hpp
@@ -40,6 +40,8 @@
                       const std::function<void(const std::string& instance_id)>& on_healthy);
     void leave();
     const admission::Admission& admission() const { return requests_.admission(); }
+    // Of the connections to the server.
+    const exchange::Irregularities& irregularities() const { return upstream_.irregularities(); }
     bool busy() const { return requests_.busy(); }
 
     Bounds bounds() const override;
@@ -67,6 +69,7 @@
     void set_timer(Millis when) override;
 
     std::optional<admission::LinkState> link_state() const;
+    void log_turned_away(admission::Ticket ticket, unsigned status, bool named) const;
     void ended(admission::Ticket ticket, Outcome outcome, HttpResponse* response);
     void answer(admission::Ticket ticket, HttpResponse response);
 
--- a/src/proxy/mesh_dialect.cpp
+++ b/src/proxy/mesh_dialect.cpp
@@ -60,6 +60,7 @@
         if (const auto edition = (*response)[kEdition]; !edition.empty())
             dependencies_.on_peer_edition(history.server,
                                           static_cast<std::uint64_t>(parse_ms(edition).value_or(0)));
+    if (response && response->count(kVerdict) == 0) rules_.count_unmarked();
     const hop::HopAttemptResult result = rules_.read(attempt_end(outcome, response), history);
     if (result.avoid_server) dependencies_.avoid(history.server);
     if (result.keep_answer) request_context.last = *response;
@@ -74,7 +75,7 @@
 HttpResponse MeshDialect::refusal(RequestContext& request_context, Millis retry_in) {
     const auto proof = hop::AttemptRules::proof(history_of(request_context));
     if (!proof) return failure(request_context);
-    rules_.count_refused();
+    rules_.count_refused(history_of(request_context));
     return proxy::refusal(*proof, hop::AttemptRules::retry_in(retry_in));
 }
 
--- a/src/proxy/outbound.cpp
+++ b/src/proxy/outbound.cpp
@@ -274,6 +274,19 @@
     clients_by_number_.at(id >> kRequestIdBits)->sidecar->client_gone(id & ((1ULL << kRequestIdBits) - 1));
 }
 
+hop::AttemptRules::Counts Outbound::counts() const {
+    hop::AttemptRules::Counts sum;
+    for (const ServiceClient* client : clients_by_number_) {
+        const auto& counts = client->dialect.counts();
+        sum.unmarked += counts.unmarked;
+        sum.refused.unsent += counts.refused.unsent;
+        sum.refused.by_admission += counts.refused.by_admission;
+        sum.refused.by_server += counts.refused.by_server;
+        sum.refused.server_unreachable += counts.refused.server_unreachable;
+    }
+    return sum;
+}
+
 std::string Outbound::status() const {
     Json::Value all;
     for (const auto& [service, service_client] : clients_) {
@@ -284,7 +297,7 @@
         one["bounced"] = Json::UInt64(counts.bounced);
         one["vetoed"] = Json::UInt64(counts.vetoed);
         one["broken"] = Json::UInt64(counts.broken);
-        one["refused"] = Json::UInt64(counts.refused);
+        one["refused"] = Json::UInt64(counts.refused.total());
         one["failed"] = Json::UInt64(counts.failed);
         one["module"] = service_client->sidecar->tally();
     }
--- a/src/proxy/outbound.hpp
+++ b/src/proxy/outbound.hpp
@@ -56,6 +56,8 @@
     void client_gone(RequestId id) override;
 
     std::string status() const;  // JSON, for diagnostics
+    // Refusals and unmarked answers, of all services together; the other counts are not summed up.
+    hop::AttemptRules::Counts counts() const;
 
 private:
     struct ServiceClient;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -217,6 +217,7 @@
         if (ec) return;
         log_line("GD007 tally", outbound_.status());
         log_link_waits();
+        log_refusals();
         schedule_tally_log();
     });
 }
@@ -273,6 +274,7 @@
         case shutdown::Step::end:
             log_unanswered();
             log_link_waits();
+            log_refusals();
             log_line("GD005 ended",
                      holds_requests() ? "stopped with requests pending" : "stopped with no requests pending");
             gossip_.stop();
@@ -300,6 +302,28 @@
               {"longest_bytes", static_cast<std::uint64_t>(waits.longest_bytes)}});
 }
 
+void Proxy::log_refusals() {
+    const hop::AttemptRules::Counts sent = outbound_.counts();
+    const exchange::Irregularities& server = inbound_.irregularities();
+    const auto text = [](std::uint64_t count) { return std::to_string(count); };
+    log_line("GD013 refusals",
+             "refused " + text(sent.refused.total()) + ": unsent " + text(sent.refused.unsent) +
+                 ", by admissions " + text(sent.refused.by_admission) + ", by servers " +
+                 text(sent.refused.by_server) + ", server unreachable " +
+                 text(sent.refused.server_unreachable) + "; unmarked answers " + text(sent.unmarked) +
+                 "; at the server: other answers " + text(server.other_answers) + ", late inputs " +
+                 text(server.late_inputs) + ", cut short " + text(server.cut_short),
+             {{"refused", sent.refused.total()},
+              {"unsent", sent.refused.unsent},
+              {"by_admission", sent.refused.by_admission},
+              {"by_server", sent.refused.by_server},
+              {"server_unreachable", sent.refused.server_unreachable},
+              {"unmarked", sent.unmarked},
+              {"other_answers", server.other_answers},
+              {"late_inputs", server.late_inputs},
+              {"cut_short", server.cut_short}});
+}
+
 std::string Proxy::status() const {
     Json::Value all;
     all["node"] = boot_.node_name;
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -48,6 +48,7 @@
     bool holds_requests() const;
     void log_unanswered() const;
     void log_link_waits();
+    void log_refusals();
     void schedule_tally_log();
 
     asio::io_context& io_;
--- a/src/sim_mesh/server_connections.hpp
+++ b/src/sim_mesh/server_connections.hpp
@@ -40,6 +40,7 @@
     void write(const ConnectionPtr& connection);
     void read(const ConnectionPtr& connection);
     bool is_reusable(const Connection& connection) const { return connection.channel.unread.empty(); }
+    bool late_input(const ConnectionPtr& connection) const { return !is_reusable(*connection); }
     void watch_idle(const ConnectionPtr&) {}
     void set_timer(const ConnectionPtr& connection, Millis at);
     void cancel_timer(Connection& connection) { connection.channel.timer = 0; }
