--- a/src/lab/request_world.cpp
+++ b/src/lab/request_world.cpp
@@ -89,8 +89,9 @@
     const double least = static_cast<double>(sum.days) * kLeastADay;
     for (const char* what :
          {"answer lost by a reset", "answer lost by silence", "answer broken off", "second answer, late",
-          "second answer, at once", "server error", "connection forgotten", "connection reset", "cut", "kill",
-          "freeze", "power", "crash", "close", "sigterm"}) {
+          "second answer, at once", "server error", "turned away by the server", "second refusal, late",
+          "connection forgotten", "connection reset", "cut", "kill", "freeze", "power", "crash", "close",
+          "sigterm"}) {
         const auto at = sum.struck.find(what);
         result.at_least(std::string("struck: ") + what,
                         at == sum.struck.end() ? 0 : static_cast<double>(at->second), least);
--- a/src/sim_mesh/director.cpp
+++ b/src/sim_mesh/director.cpp
@@ -224,6 +224,7 @@
                           : how == "twice"   ? Server::Loses::twice
                           : how == "idle"    ? Server::Loses::idle
                           : how == "fails"   ? Server::Loses::fails
+                          : how == "refuses" ? Server::Loses::refuses
                                              : throw ScriptError(c.where + ": loses what?");
         Millis& ill_until = world_.rules.servers_ill_until;
         ill_until = std::max(ill_until, world_.time.now() + lasts * 1000);
--- a/src/sim_mesh/request_day.cpp
+++ b/src/sim_mesh/request_day.cpp
@@ -75,7 +75,7 @@
     }
     std::string answers() {
         const char* how =
-            draw_.one_of({"reset", "silence", "half", "extra", "extra", "twice", "idle", "fails"});
+            draw_.one_of({"reset", "silence", "half", "extra", "extra", "twice", "idle", "fails", "refuses"});
         // Not of a service: its last server may have gone to the other.
         const std::string whom = draw_.below(4) == 0 ? draw_.one_of({"half", "proxies"}) : proxy();
         return "lose " + whom + " " + how + option("share", draw_.between(0.1, 0.9)) +
--- a/src/sim_mesh/server.cpp
+++ b/src/sim_mesh/server.cpp
@@ -10,7 +10,8 @@
 namespace {
 constexpr Millis kAckWithin = 1000, kSoon = 250, kAnyway = 5000, kLittleLonger = 500, kExtraAfter = 30,
                  kForgetsAfter = 300, kHop = 0.3;
-constexpr double kCloses = 0.02;  // now and then an answer says Connection: close
+constexpr double kRefusedTwice = 0.5;  // of the refusals of a server that refuses without need
+constexpr double kCloses = 0.02;       // now and then an answer says Connection: close
 
 const char* name_of(Server::Loses how) {
     switch (how) {
@@ -30,6 +31,8 @@
             return "connections forgotten";
         case Server::Loses::fails:
             return "server error";
+        case Server::Loses::refuses:
+            return "turned away by the server";
     }
     return "";
 }
@@ -164,15 +167,30 @@
     world_.rules.tell([&](Checker& c) {
         if (expected == life_ || expected.empty()) c.arrived(run);
     });
-    if (!expected.empty() && expected != life_) return deliver(connection, {Kind::wrong_life, run.id});
+    if (!expected.empty() && expected != life_) return turn_away(connection, Kind::wrong_life);
     if (world_.time.now() >= run.request->deadline || queue_.size() >= 2 * settings_.capacity)
-        return deliver(connection, {Kind::turned_away, run.id});
+        return turn_away(connection, Kind::turned_away);
+    if (loses_ == Loses::refuses && world_.unit() < lost_share_) {
+        world_.strike(name_of(loses_));
+        return turn_away(connection, Kind::turned_away);
+    }
     const std::uint64_t number = next_++;
     jobs_[number] = {run, connection, false};
     queue_.push_back(number);
     look();
 }
 
+// On the wire a refusal names no request.
+void Server::turn_away(ConnectionNumber connection, ServerAnswer::Kind kind) {
+    const ServerAnswer refusal{kind, "", false};
+    deliver(connection, refusal);
+    const bool twice = (loses_ == Loses::extra && world_.unit() < lost_share_) ||
+                       (loses_ == Loses::refuses && world_.unit() < kRefusedTwice);
+    if (!twice) return;
+    world_.strike("second refusal, late");
+    deliver(connection, refusal, kExtraAfter);
+}
+
 // ---- Work ------------------------------------------------------------------------------------------------
 
 void Server::look() {
@@ -204,9 +222,9 @@
         const ServerAnswer whole{Kind::whole, job.run.id, closing_ || world_.unit() < kCloses};
         if (how == Loses::by_reset || how == Loses::half) reset(job.connection);
         if (how == Loses::fails) deliver(job.connection, {Kind::failed, job.run.id});
-        if (how != Loses::nothing && how != Loses::idle) world_.strike(name_of(how));
-        const bool comes =
-            how == Loses::nothing || how == Loses::extra || how == Loses::twice || how == Loses::idle;
+        if (how != Loses::nothing && how != Loses::idle && how != Loses::refuses) world_.strike(name_of(how));
+        const bool comes = how == Loses::nothing || how == Loses::extra || how == Loses::twice ||
+                           how == Loses::idle || how == Loses::refuses;
         if (comes) deliver(job.connection, whole);
         if (how == Loses::extra) deliver(job.connection, whole, kExtraAfter);
         if (how == Loses::twice) deliver(job.connection, whole);
--- a/src/sim_mesh/server.hpp
+++ b/src/sim_mesh/server.hpp
@@ -36,11 +36,12 @@
         nothing,
         by_reset,
         by_silence,
-        half,   // breaks off
-        extra,  // a second answer 30 ms later
-        twice,  // a second answer at once, behind the first
-        idle,   // forgets connections that rest: the next request on one is reset, run or not
-        fails   // 500
+        half,    // breaks off
+        extra,   // a second answer 30 ms later
+        twice,   // a second answer at once, behind the first
+        idle,    // forgets connections that rest: the next request on one is reset, run or not
+        fails,   // 500
+        refuses  // turns requests away; half of these refusals come a second time 30 ms later
     };
 
     Server(World& world, Ip ip, std::string service, std::string life, const Settings& settings, bool warm);
@@ -81,6 +82,7 @@
     void begin(std::uint64_t number);
     void finish(std::uint64_t number);
     void deliver(ConnectionNumber connection, ServerAnswer answer, Millis after = 0.3);
+    void turn_away(ConnectionNumber connection, ServerAnswer::Kind kind);
     void reset(ConnectionNumber connection);
     void hang_up();
     void after(Millis delay, Task what);
