Proxy: a server's refusal without an id is proof in a connection's first exchange alone

Callers saw 503 for requests that ran, and once-only requests that ran twice (offered again after such a refusal). Cause: servers refuse without an id (503 with Not-Run, 421). A late second copy of a refusal, or bytes past an answer that read like one, were taken for the answer to the next request on the connection, and as proof that it had not run. Class: an answer taken as proof about a request that it does not name. Change: ConnectionPool asks whose answer it is. One without an id is its request's only where the connection has served no other; later it proves nothing (may have run). After a refusal a connection is not used again, so a copy, with an id or without, meets no other request, nor the same one sent again. Why it works: in a first exchange no earlier request exists whose copy it could be.

--- a/src/exchange/connection_pool.hpp
+++ b/src/exchange/connection_pool.hpp
@@ -8,8 +8,10 @@
 // Invariants:
 //   - at most one exchange on a connection at a time;
 //   - a connection is reused only if exactly one complete answer to its own request has come on it; bytes
-//     after an answer, another request's answer, a reset, an end of stream, a time-out or a withdrawal rule
-//     it out;
+//     after an answer, another request's answer, a refusal by the server, a reset, an end of stream, a
+//     time-out or a withdrawal rule it out;
+//   - an answer without an id is taken for its request's only in a connection's first exchange, where there
+//     is no other request that it could belong to;
 //   - an attempt whose last byte was not written ends as refused_connection or not_sent: it has not run.
 //     Every other attempt without an answer may have run.
 //
@@ -24,11 +26,14 @@
 //   void watch_idle(const ConnectionPtr&)   calls idle_readable() on input or end; may free the buffers
 //   void set_timer(const ConnectionPtr&, Millis at)    replaces the timer set before; calls timer_fired()
 //   void cancel_timer(Connection&)
-//   bool late_input(const ConnectionPtr&)   whether an idle connection that is not reusable has input; logs
-//   it void close(Connection&) bool is_stray(const Connection&, const Response&)  whether the answer belongs
-//   to another request Outcome judge(const Response&) Millis keep_alive_time(const Response&) the keep-alive
-//   time that the server announces; 0: none void attempt_ended(AttemptKey, Outcome, Response*) void
-//   probe_ended(ServerId, Outcome, Millis duration)
+//   bool late_input(const ConnectionPtr&)   whether an unusable idle connection has input, which is logged
+//   void close(Connection&)
+//   AnswerOwner owner_of(const Connection&, const Response&)   by the ids of the request and the answer
+//   bool is_refusal(const Response&)        whether the server says that it did not run the request
+//   Outcome judge(const Response&)
+//   Millis keep_alive_time(const Response&) the keep-alive time that the server announces; 0: none
+//   void attempt_ended(AttemptKey, Outcome, Response*)
+//   void probe_ended(ServerId, Outcome, Millis duration)
 #pragma once
 
 #include <algorithm>
@@ -39,6 +44,7 @@
 #include <utility>
 #include <vector>
 
+#include "exchange/answer_owner.hpp"
 #include "exchange/attempt_key.hpp"
 #include "module.hpp"
 
@@ -56,6 +62,7 @@
 // What has happened on connections besides requests and their own answers.
 struct Irregularities {
     std::uint64_t other_answers = 0;  // answers to another request, in the place of one to the own
+    std::uint64_t unattributed = 0;   // answers without an id, not on a connection's first exchange
     std::uint64_t late_inputs = 0;    // idle connections that were closed as input came on them
     std::uint64_t cut_short = 0;      // requests of which only a part was written
 };
@@ -99,8 +106,9 @@
         std::shared_ptr<Group> group;
         ConnectionState state = ConnectionState::connecting;
         std::unique_ptr<Job> job;
-        bool stray_seen = false;     // an answer to another request has come on it
-        Millis keep_alive_time = 0;  // keep-alive time that the server announced last; 0: none
+        std::uint32_t exchanges = 0;  // requests that it was used for, the current one included
+        bool stray_seen = false;      // an answer to another request has come on it
+        Millis keep_alive_time = 0;   // keep-alive time that the server announced last; 0: none
         Millis idle_since = 0;
     };
 
@@ -195,13 +203,21 @@
     }
 
     void answered(const ConnectionPtr& connection, Response&& response, AnswerEnd how) {
-        if (!connection->job->probe && transport_.is_stray(*connection, response)) {
+        const AnswerOwner owner =
+            connection->job->probe ? AnswerOwner::this_request : transport_.owner_of(*connection, response);
+        if (owner == AnswerOwner::another_request) {
             ++irregularities_.other_answers;
             if (std::exchange(connection->stray_seen, true) || !how.keep_alive) return broken(connection);
             return read(connection);
         }
-        const bool keep =
-            how.keep_alive && !how.excess_bytes && !connection->group->retired && !connection->stray_seen;
+        if (owner == AnswerOwner::unknown && (connection->exchanges > 1 || connection->stray_seen)) {
+            ++irregularities_.unattributed;
+            return broken(connection);
+        }
+        // A refusal may come twice, with nothing to tell its copy from the next request's answer.
+        const bool keep = how.keep_alive && !how.excess_bytes && !connection->group->retired &&
+                          !connection->stray_seen && owner == AnswerOwner::this_request &&
+                          !transport_.is_refusal(response);
         connection->keep_alive_time = transport_.keep_alive_time(response);
         end(connection, transport_.judge(response), &response, keep);
     }
@@ -244,6 +260,7 @@
         else
             transport_.set_timer(connection, job->until);
         connection->job = std::move(job);
+        ++connection->exchanges;
         if (!is_new) return write(connection);
         // The connection limit is reached, so the attempt is not sent; `not_sent` does not count against
         // the server.
--- a/src/hop/server_answer.cpp
+++ b/src/hop/server_answer.cpp
@@ -2,6 +2,8 @@
 
 namespace cobaltshift::hop {
 
+using exchange::AnswerOwner;
+
 namespace {
 constexpr unsigned kMisdirected = 421, kTooManyRequests = 429, kUnavailable = 503, kRequestTimeout = 408;
 
@@ -11,8 +13,10 @@
 }
 }  // namespace
 
+bool is_refusal(const ServerAnswerHead& head) { return head.not_run || head.status == kMisdirected; }
+
 std::optional<Failure> failure_of_answer(const ServerAnswerHead& head) {
-    if (head.not_run || head.status == kMisdirected) return Failure{Execution::not_run, Reason::turned_away};
+    if (is_refusal(head)) return Failure{Execution::not_run, Reason::turned_away};
     if (is_success(head.status) && (!head.stamped || head.encoded))
         return Failure{Execution::may_have_run, Reason::broken};
     // The server confirms these statuses by Not-Run; without it they do not prove that the request has not
@@ -27,8 +31,9 @@
     return {Execution::may_have_run, outcome == Outcome::timed_out ? Reason::silent : Reason::broken};
 }
 
-bool answers_another(std::string_view asked, std::string_view answered, unsigned status) {
-    return answered.empty() ? is_success(status) : answered != asked;
+AnswerOwner owner_of_answer(std::string_view asked, std::string_view answered, unsigned status) {
+    if (answered == asked) return AnswerOwner::this_request;
+    return answered.empty() && !is_success(status) ? AnswerOwner::unknown : AnswerOwner::another_request;
 }
 
 }  // namespace cobaltshift::hop
--- a/src/hop/server_answer.hpp
+++ b/src/hop/server_answer.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string_view>
 
+#include "exchange/answer_owner.hpp"
 #include "module.hpp"
 #include "outcome/outcome.hpp"
 
@@ -17,6 +18,9 @@
     bool encoded = false;  // it has a Content-Encoding, so the body is not the server's own bytes
 };
 
+// Whether the server says that it did not run the request.
+bool is_refusal(const ServerAnswerHead& head);
+
 // Returns none if the answer may be passed on unchanged. Only Not-Run and status 421 prove that the request
 // did not run. A success without a stamp or with an encoded body, and a status that promises that the request
 // has not run (408, 429, 503) without Not-Run, count as a broken answer.
@@ -25,9 +29,8 @@
 // The failure of an attempt that ended without an answer.
 Failure failure_without_answer(Outcome outcome);
 
-// Whether an answer belongs to another request than the one with the id `asked`, such as a late second answer
-// on a keep-alive connection. A success without an id belongs to no request; any other answer without an id
-// is taken for this request's.
-bool answers_another(std::string_view asked, std::string_view answered, unsigned status);
+// Whose answer one with the id `answered` is, in the place of the answer to `asked`. Servers put the id on
+// every success, so one without an id is another request's; refusals and errors may come without.
+exchange::AnswerOwner owner_of_answer(std::string_view asked, std::string_view answered, unsigned status);
 
 }  // namespace cobaltshift::hop
--- a/src/lab/request_world.cpp
+++ b/src/lab/request_world.cpp
@@ -66,6 +66,7 @@
     {"ids of answers compared", "MIXED", &Safeguards::ids_compared},
     {"registered requests once", "TWICE", &Safeguards::registered_once},
     {"proof of a refusal", "REFUSED", &Safeguards::proof_of_refusal},
+    {"refusals attributed to their requests", "REFUSED", &Safeguards::refusals_attributed},
     {"an acknowledged closing kept", "DRAIN", &Safeguards::closing_at_admission},
     {"the deadline kept", "HELD", &Safeguards::deadline_kept},
 };
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -224,8 +224,9 @@
 
 // ---- Protocol ---------------------------------------------------------------------------------------------
 
-bool Upstream::is_stray(const Connection& connection, const HttpResponse& response) const {
-    return protocol_.is_stray && protocol_.is_stray(*connection.job->request, response);
+exchange::AnswerOwner Upstream::owner_of(const Connection& connection, const HttpResponse& response) const {
+    if (!protocol_.owner_of) return exchange::AnswerOwner::this_request;
+    return protocol_.owner_of(*connection.job->request, response);
 }
 
 Millis Upstream::keep_alive_time(const HttpResponse& response) const {
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -23,9 +23,11 @@
     std::function<void(HttpRequest&, Millis left)> prepare_request;
     // The outcome that a complete answer stands for.
     std::function<Outcome(const HttpResponse&)> outcome_of;
-    // Whether the answer belongs to another request. One such answer is skipped, and the connection is not
-    // reused afterwards. May be empty.
-    std::function<bool(const HttpRequest&, const HttpResponse&)> is_stray;
+    // Whose answer it is; see exchange::ConnectionPool. Empty: always the request's own.
+    std::function<exchange::AnswerOwner(const HttpRequest&, const HttpResponse&)> owner_of;
+    // Whether the server says by this answer that it did not run the request, after which the connection is
+    // not reused. Empty: no answer rules that out.
+    std::function<bool(const HttpResponse&)> is_refusal;
     std::uint64_t body_bytes = kMaxBody;  // limit for one answer; a longer one counts as broken
     std::string probe_path = "/healthz";
     // Whether the timeout in a server's Keep-Alive header bounds how long an idle connection is kept.
@@ -93,7 +95,10 @@
     void set_timer(const ConnectionPtr& connection, Millis at);
     void cancel_timer(Connection& connection);
     void close(Connection& connection);
-    bool is_stray(const Connection& connection, const HttpResponse& response) const;
+    exchange::AnswerOwner owner_of(const Connection& connection, const HttpResponse& response) const;
+    bool is_refusal(const HttpResponse& response) const {
+        return protocol_.is_refusal && protocol_.is_refusal(response);
+    }
     Outcome judge(const HttpResponse& response) const { return protocol_.outcome_of(response); }
     Millis keep_alive_time(const HttpResponse& response) const;
     void attempt_ended(AttemptKey key, Outcome outcome, HttpResponse* response) {
--- a/src/proxy/hop_headers.cpp
+++ b/src/proxy/hop_headers.cpp
@@ -45,13 +45,19 @@
     return hop;
 }
 
-leaf::result<HttpResponse> validate_server_answer(HttpResponse response) {
+namespace {
+hop::ServerAnswerHead head_of(const HttpResponse& response) {
     hop::ServerAnswerHead head;
     head.status = response.result_int();
     head.not_run = response.count(kNotRun) > 0;
     head.stamped = !response[kPostmark].empty();
     head.encoded = response.count(http::field::content_encoding) > 0;
-    if (const auto failure = hop::failure_of_answer(head)) return leaf::new_error(*failure);
+    return head;
+}
+}  // namespace
+
+leaf::result<HttpResponse> validate_server_answer(HttpResponse response) {
+    if (const auto failure = hop::failure_of_answer(head_of(response))) return leaf::new_error(*failure);
     response.set(kVerdict, "ran");
     response.erase(kEdition);
     return response;
@@ -86,12 +92,14 @@
     return Failure{Execution::not_run, *reason};
 }
 
-bool answers_another(const HttpRequest& request, const HttpResponse& response) {
+exchange::AnswerOwner owner_of_answer(const HttpRequest& request, const HttpResponse& response) {
     const auto asked = request[kRequestId], answered = response[kRequestId];
-    return hop::answers_another({asked.data(), asked.size()}, {answered.data(), answered.size()},
+    return hop::owner_of_answer({asked.data(), asked.size()}, {answered.data(), answered.size()},
                                 response.result_int());
 }
 
+bool is_refusal(const HttpResponse& response) { return hop::is_refusal(head_of(response)); }
+
 HttpResponse refusal(const NotRun&, double retry_in_ms) {
     HttpResponse response(http::status::service_unavailable, 11);
     if (retry_in_ms > 0) response.set(http::field::retry_after, seconds_text(retry_in_ms));
--- a/src/proxy/hop_headers.hpp
+++ b/src/proxy/hop_headers.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 
+#include "exchange/answer_owner.hpp"
 #include "hop/hop.hpp"
 #include "net/http.hpp"
 #include "outcome/outcome.hpp"
@@ -40,8 +41,10 @@
 // The failure that another proxy reports by its answer; none if it passes on the server's answer.
 std::optional<Failure> parse_verdict(const HttpResponse& response);
 
-// Whether a server's answer belongs to another request than `request`; see hop::answers_another.
-bool answers_another(const HttpRequest& request, const HttpResponse& response);
+// Whose answer a server's answer is, in the place of the one to `request`; see hop::owner_of_answer.
+exchange::AnswerOwner owner_of_answer(const HttpRequest& request, const HttpResponse& response);
+// Whether a server says by its answer that it did not run the request; see hop::is_refusal.
+bool is_refusal(const HttpResponse& response);
 
 // The refusal (503) of a client's request. `retry_in_ms` is sent as Retry-After; 0: no advice.
 HttpResponse refusal(const NotRun& proof, double retry_in_ms);
--- a/src/proxy/inbound.cpp
+++ b/src/proxy/inbound.cpp
@@ -32,7 +32,8 @@
     m.outcome_of = [](const HttpResponse& response) {
         return response.result_int() / 100 == 2 ? Outcome::completed : Outcome::errored;
     };
-    m.is_stray = answers_another;
+    m.owner_of = owner_of_answer;
+    m.is_refusal = is_refusal;
     m.body_bytes = kMaxBodyBytes;
     m.honors_keep_alive = true;
     return m;
--- a/src/proxy/mesh_dialect.cpp
+++ b/src/proxy/mesh_dialect.cpp
@@ -2,6 +2,7 @@
 
 namespace cobaltshift::proxy {
 
+using exchange::AnswerOwner;
 using hop::RequestHistory;
 
 namespace {
@@ -28,8 +29,8 @@
     };
     // Checked again on the caller side: even if the proxy beside the server mixes up answers, none reaches
     // another request.
-    m.is_stray = [](const HttpRequest& request, const HttpResponse& response) {
-        return response[kVerdict] == "ran" && answers_another(request, response);
+    m.owner_of = [](const HttpRequest& request, const HttpResponse& response) {
+        return response[kVerdict] == "ran" ? owner_of_answer(request, response) : AnswerOwner::this_request;
     };
     m.body_bytes = kMaxAnswerBytes;
     return m;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -312,7 +312,8 @@
                  text(sent.refused.by_server) + ", server unreachable " +
                  text(sent.refused.server_unreachable) + "; unmarked answers " + text(sent.unmarked) +
                  "; at the server: other answers " + text(server.other_answers) + ", late inputs " +
-                 text(server.late_inputs) + ", cut short " + text(server.cut_short),
+                 text(server.late_inputs) + ", unattributed " + text(server.unattributed) + ", cut short " +
+                 text(server.cut_short),
              {{"refused", sent.refused.total()},
               {"unsent", sent.refused.unsent},
               {"by_admission", sent.refused.by_admission},
@@ -321,6 +322,7 @@
               {"unmarked", sent.unmarked},
               {"other_answers", server.other_answers},
               {"late_inputs", server.late_inputs},
+              {"unattributed", server.unattributed},
               {"cut_short", server.cut_short}});
 }
 
--- a/src/sim_mesh/facts.hpp
+++ b/src/sim_mesh/facts.hpp
@@ -31,6 +31,7 @@
     bool proof_of_refusal = true;      // 503 only for what has not run
     bool caller_named = true;          // Caller is set
     bool ids_compared = true;          // an answer of another id is none
+    bool refusals_attributed = true;   // without an id, only in a first exchange
     bool budget = true;                // further tries are counted
     bool commit_first = true;          // 200 after the commit
     bool newer_only = true;            // a configuration that is older isn't taken
--- a/src/sim_mesh/hop_connections.cpp
+++ b/src/sim_mesh/hop_connections.cpp
@@ -7,6 +7,7 @@
 
 namespace cobaltshift::simmesh {
 
+using exchange::AnswerOwner;
 using exchange::ConnectionState;
 using kelplb::Outcome;
 
@@ -62,9 +63,9 @@
     if (connection.channel.call) world_.net.close(connection.channel.call);
 }
 
-bool HopConnections::is_stray(const Connection& connection, const HopAnswer& answer) const {
-    return world_.safeguards.ids_compared && !answer.failure &&
-           hop::answers_another(connection.job->request->id, answer.answer.id, answer.answer.status);
+AnswerOwner HopConnections::owner_of(const Connection& connection, const HopAnswer& answer) const {
+    if (!world_.safeguards.ids_compared || answer.failure) return AnswerOwner::this_request;
+    return hop::owner_of_answer(connection.job->request->id, answer.answer.id, answer.answer.status);
 }
 
 Outcome HopConnections::judge(const HopAnswer& answer) const {
--- a/src/sim_mesh/hop_connections.hpp
+++ b/src/sim_mesh/hop_connections.hpp
@@ -55,7 +55,8 @@
     void set_timer(const ConnectionPtr& connection, Millis at);
     void cancel_timer(Connection& connection) { connection.channel.timer = 0; }
     void close(Connection& connection);
-    bool is_stray(const Connection& connection, const HopAnswer& answer) const;
+    exchange::AnswerOwner owner_of(const Connection& connection, const HopAnswer& answer) const;
+    bool is_refusal(const HopAnswer&) const { return false; }  // proxies answer each request once
     kelplb::Outcome judge(const HopAnswer& answer) const;
     Millis keep_alive_time(const HopAnswer&) const { return 0; }
     void attempt_ended(AttemptKey key, kelplb::Outcome outcome, HopAnswer* answer) {
--- a/src/sim_mesh/inbound.cpp
+++ b/src/sim_mesh/inbound.cpp
@@ -9,14 +9,6 @@
 namespace {
 // As proxy/inbound.cpp.
 constexpr exchange::Limits kToServer{1000, 9000, 64, 0.5};
-
-hop::ServerAnswerHead head_of(const ServerAnswer& answer) {
-    hop::ServerAnswerHead head;
-    head.status = status_of(answer);
-    head.not_run = answer.kind == ServerAnswer::Kind::turned_away;
-    head.stamped = true;
-    return head;
-}
 }  // namespace
 
 Inbound::Inbound(Proxy& owner, World& world, Ip ip)
--- a/src/sim_mesh/server_connections.cpp
+++ b/src/sim_mesh/server_connections.cpp
@@ -5,6 +5,7 @@
 
 namespace cobaltshift::simmesh {
 
+using exchange::AnswerOwner;
 using exchange::ConnectionState;
 using kelplb::Outcome;
 
@@ -30,6 +31,14 @@
     return 0;
 }
 
+hop::ServerAnswerHead head_of(const ServerAnswer& answer) {
+    hop::ServerAnswerHead head;
+    head.status = status_of(answer);
+    head.not_run = answer.kind == ServerAnswer::Kind::turned_away;
+    head.stamped = true;
+    return head;
+}
+
 ServerConnections::ServerConnections(World& world, Ip ip, exchange::Limits limits, Ended ended)
     : world_(world),
       ip_(ip),
@@ -112,9 +121,15 @@
     });
 }
 
-bool ServerConnections::is_stray(const Connection& connection, const ServerAnswer& answer) const {
-    return world_.safeguards.ids_compared &&
-           hop::answers_another(connection.job->request->id, answer.id, status_of(answer));
+AnswerOwner ServerConnections::owner_of(const Connection& connection, const ServerAnswer& answer) const {
+    if (!world_.safeguards.ids_compared) return AnswerOwner::this_request;
+    const AnswerOwner owner = hop::owner_of_answer(connection.job->request->id, answer.id, status_of(answer));
+    const bool assumed = owner == AnswerOwner::unknown && !world_.safeguards.refusals_attributed;
+    return assumed ? AnswerOwner::this_request : owner;
+}
+
+bool ServerConnections::is_refusal(const ServerAnswer& answer) const {
+    return world_.safeguards.refusals_attributed && hop::is_refusal(head_of(answer));
 }
 
 Outcome ServerConnections::judge(const ServerAnswer& answer) const {
--- a/src/sim_mesh/server_connections.hpp
+++ b/src/sim_mesh/server_connections.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 
 #include "exchange/connection_pool.hpp"
+#include "hop/server_answer.hpp"
 #include "sim_mesh/hop_connections.hpp"
 #include "sim_mesh/server.hpp"
 
@@ -45,7 +46,8 @@
     void set_timer(const ConnectionPtr& connection, Millis at);
     void cancel_timer(Connection& connection) { connection.channel.timer = 0; }
     void close(Connection& connection);
-    bool is_stray(const Connection& connection, const ServerAnswer& answer) const;
+    exchange::AnswerOwner owner_of(const Connection& connection, const ServerAnswer& answer) const;
+    bool is_refusal(const ServerAnswer& answer) const;
     kelplb::Outcome judge(const ServerAnswer& answer) const;
     Millis keep_alive_time(const ServerAnswer&) const { return 0; }
     void attempt_ended(AttemptKey key, kelplb::Outcome outcome, ServerAnswer* answer) {
@@ -67,5 +69,6 @@
 
 // The status that a server's answer bears on the wire.
 unsigned status_of(const ServerAnswer& answer);
+hop::ServerAnswerHead head_of(const ServerAnswer& answer);
 
 }  // namespace cobaltshift::simmesh
