Proxy: a request of which a part was written to its server may have run

Callers could see 503, or a once-only request offered to another server, where a server had begun a request whose connection then broke while its rest was still being written. Not seen in the field or the soak: found by reading, for the same class, a broken write taken as proof of what the server did. Cause: the pool assumed of every server that it starts a request only once it has the last byte. The users' pages say that a request has run once a server has begun work on it. Change: a transport says whether its peer runs none but whole requests: proxies do (their listener parses the whole first), the platform's servers do by its page; the mesh's application servers need not. There the answer is read after a broken write: an early refusal is still proof, and a reset or an end means that the request may have run.

--- a/src/exchange/connection_pool.hpp
+++ b/src/exchange/connection_pool.hpp
@@ -12,8 +12,9 @@
 //     time-out or a withdrawal rule it out;
 //   - an answer without an id is taken for its request's only in a connection's first exchange, where there
 //     is no other request that it could belong to;
-//   - an attempt whose last byte was not written ends as refused_connection or not_sent: it has not run.
-//     Every other attempt without an answer may have run.
+//   - an attempt of which nothing was written ends as refused_connection or not_sent: it has not run. One of
+//     which only a part was written does so too where the peer runs none but whole requests. Every other
+//     attempt without an answer may have run.
 //
 // A Transport provides (Connection is ConnectionPool<Transport>::Connection):
 //   types   Endpoint (comparable), RequestPtr, Response, Channel (I/O of one connection, constructed from the
@@ -29,6 +30,7 @@
 //   bool late_input(const ConnectionPtr&)   whether an unusable idle connection has input, which is logged
 //   void close(Connection&)
 //   AnswerOwner owner_of(const Connection&, const Response&)   by the ids of the request and the answer
+//   bool runs_whole_requests_only()         whether the peer begins a request only once it has its last byte
 //   bool is_refusal(const Response&)        whether the server says that it did not run the request
 //   Outcome judge(const Response&)
 //   Millis keep_alive_time(const Response&) the keep-alive time that the server announces; 0: none
@@ -108,6 +110,7 @@
         std::unique_ptr<Job> job;
         std::uint32_t exchanges = 0;  // requests that it was used for, the current one included
         bool stray_seen = false;      // an answer to another request has come on it
+        bool cut_short = false;       // only a part of the current request was written
         Millis keep_alive_time = 0;   // keep-alive time that the server announced last; 0: none
         Millis idle_since = 0;
     };
@@ -195,11 +198,14 @@
     // The last byte of the request has been written.
     void written(const ConnectionPtr& connection) { read(connection); }
 
-    // A server starts a request only once it has the last byte, so this one has not run. `any_written`: some
-    // bytes of it were written.
+    // `any_written`: some bytes of the request were written. The peer may have begun to run it, or have
+    // refused it before it was whole; what it has answered is still to be read.
     void write_failed(const ConnectionPtr& connection, bool any_written) {
         irregularities_.cut_short += any_written ? 1 : 0;
-        end(connection, Outcome::refused_connection, nullptr, false);
+        if (!any_written || transport_.runs_whole_requests_only())
+            return end(connection, Outcome::refused_connection, nullptr, false);
+        connection->cut_short = true;
+        read(connection);
     }
 
     void answered(const ConnectionPtr& connection, Response&& response, AnswerEnd how) {
@@ -216,8 +222,8 @@
         }
         // A refusal may come twice, with nothing to tell its copy from the next request's answer.
         const bool keep = how.keep_alive && !how.excess_bytes && !connection->group->retired &&
-                          !connection->stray_seen && owner == AnswerOwner::this_request &&
-                          !transport_.is_refusal(response);
+                          !connection->stray_seen && !connection->cut_short &&
+                          owner == AnswerOwner::this_request && !transport_.is_refusal(response);
         connection->keep_alive_time = transport_.keep_alive_time(response);
         end(connection, transport_.judge(response), &response, keep);
     }
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -28,6 +28,8 @@
     // Whether the server says by this answer that it did not run the request, after which the connection is
     // not reused. Empty: no answer rules that out.
     std::function<bool(const HttpResponse&)> is_refusal;
+    // Whether a server begins a request only once it has its last byte.
+    bool runs_whole_requests_only = true;
     std::uint64_t body_bytes = kMaxBody;  // limit for one answer; a longer one counts as broken
     std::string probe_path = "/healthz";
     // Whether the timeout in a server's Keep-Alive header bounds how long an idle connection is kept.
@@ -96,6 +98,7 @@
     void cancel_timer(Connection& connection);
     void close(Connection& connection);
     exchange::AnswerOwner owner_of(const Connection& connection, const HttpResponse& response) const;
+    bool runs_whole_requests_only() const { return protocol_.runs_whole_requests_only; }
     bool is_refusal(const HttpResponse& response) const {
         return protocol_.is_refusal && protocol_.is_refusal(response);
     }
--- a/src/sim_mesh/server_connections.hpp
+++ b/src/sim_mesh/server_connections.hpp
@@ -41,6 +41,7 @@
     void write(const ConnectionPtr& connection);
     void read(const ConnectionPtr& connection);
     bool is_reusable(const Connection& connection) const { return connection.channel.unread.empty(); }
+    bool runs_whole_requests_only() const { return true; }  // nothing is written in parts
     bool late_input(const ConnectionPtr& connection) const { return !is_reusable(*connection); }
     void watch_idle(const ConnectionPtr&) {}
     void set_timer(const ConnectionPtr& connection, Millis at);
