Hop: an answer of another proxy without a verdict, or under another id, proves nothing

Callers could see a 503 for a request that may have run, or a 429 or 421 passed on as a server's, where an answer came on a hop that no proxy had marked. Cause: 503 and 408 without Mesh-Verdict were taken for the other listener's refusals, every other status for a server's own answer. A server's "Connection: Mesh-Verdict" removed the verdict that was set before the field was read. Proxies' refusals bore no id, and a refusal's id was not compared. Evidence: mesh_incident_refused_answer_without_a_verdict, red before. Change: every answer between proxies bears a verdict and, once the request has been read, its id; a listener's rejections are marked by the front end (Front::mark_rejection). Without a verdict a request may have run; an answer under another id is skipped. A server's answer is stripped of connection fields before it is marked. Test changed: "a proxy's own answer is parsed as the failure it reports" asked that 503 and 408 without a verdict be proof. That was the fault. It asks now of seven statuses that none is, and two cases ask for the ids.

--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -46,6 +46,9 @@
     virtual std::string request_id_of(const HttpRequest& request) const = 0;
     // The name in log lines of a request for which request_id_of() is empty.
     virtual std::string log_name(const HttpRequest&) const { return {}; }
+    // Marks an answer by which the Listener rejects a request that it does not pass to arrived(), if the
+    // protocol has a mark for that.
+    virtual void mark_rejection(HttpResponse&) const {}
     // Accepts a request. `spent`: ms since its first byte. The answer is delivered later, through the client.
     virtual RequestId arrived(RequestPtr request, Millis spent, std::weak_ptr<Client> client) = 0;
     // The client disconnected before the answer was given.
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -3,6 +3,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -29,14 +30,21 @@
 // reason from that and would retry forever. The difference is room for the fields that are added on the way.
 constexpr std::ptrdiff_t kMaxFields = 90;
 
+// Headers that identify a request or stamp an answer: a Connection header can't remove them, as repeats,
+// answers and their senders are known by them.
+constexpr const char* kEndToEndHeaders[] = {"Idempotency-Key", "X-Correlation-Id", "Request-Id", "Postmark"};
+
 // Removes the hop-by-hop headers and the headers named by Connection.
 template <class Fields>
 void strip_hop_by_hop(Fields& fields) {
     std::vector<std::string> names;
     for (const auto& name : http::token_list(fields[http::field::connection])) names.emplace_back(name);
-    for (const auto& name : names)  // except those that identify a request: servers detect repeats by them
-        if (!beast::iequals(name, "Idempotency-Key") && !beast::iequals(name, "X-Correlation-Id"))
-            fields.erase(name);
+    const auto is_kept = [](const std::string& name) {
+        return std::any_of(std::begin(kEndToEndHeaders), std::end(kEndToEndHeaders),
+                           [&](const char* kept) { return beast::iequals(name, kept); });
+    };
+    for (const auto& name : names)
+        if (!is_kept(name)) fields.erase(name);
     for (const char* name : {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
                              "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"})
         fields.erase(name);
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -217,7 +217,7 @@
         deadline_ += bounds_.read_time - bounds_.head_time;
         if (fault) {
             keep_ = !framing_fault(head) && length == 0 && head.keep_alive();
-            write(HttpResponse(*fault, 11), keep_);
+            write(rejection(*fault), keep_);
             return false;
         }
         if (owner_.body_bytes_ + length > owner_.limits_.body_bytes) {
@@ -240,7 +240,7 @@
         if (chunked && owner_.front_.fault(*request)) return reject(http::status::bad_request);
         std::string name = owner_.front_.request_id_of(*request);
         if (!name.empty() && !owner_.open_ids_.insert(name).second)
-            return write(HttpResponse(http::status::conflict, 11), keep_);
+            return write(rejection(http::status::conflict), keep_);
         log_name_ = name.empty() ? owner_.front_.log_name(*request) : name;
         open_name_ = std::move(name);
         set_state(State::waiting);
@@ -278,7 +278,12 @@
                   {"age_ms", age}});
     }
 
-    void reject(http::status status) { write(HttpResponse(status, 11), false); }
+    HttpResponse rejection(http::status status) const {
+        HttpResponse response(status, 11);
+        owner_.front_.mark_rejection(response);
+        return response;
+    }
+    void reject(http::status status) { write(rejection(status), false); }
 
     void write(HttpResponse response, bool keep) { write(std::move(response), keep, kAlwaysUrgent); }
     void write(HttpResponse response, bool keep, Millis urgent_at) {
--- a/src/proxy/hop_headers.cpp
+++ b/src/proxy/hop_headers.cpp
@@ -69,24 +69,22 @@
                           : failure.reason == Reason::silent ? http::status::gateway_timeout
                                                              : http::status::bad_gateway,
                           11);
-    response.set(kVerdict,
-                 std::string(not_run ? "not-run " : "may-have-run ") + std::string(name(failure.reason)));
+    mark_verdict(response, failure);
     return response;
 }
 
+void mark_verdict(HttpResponse& response, const Failure& failure) {
+    const std::string execution = failure.execution == Execution::not_run ? "not-run " : "may-have-run ";
+    response.set(kVerdict, execution + std::string(name(failure.reason)));
+}
+
 std::optional<Failure> parse_verdict(const HttpResponse& response) {
     const auto field = response[kVerdict];
     if (field == "ran") return {};
-    if (field.empty()) {
-        // The other proxy's listener answered before it had read the request, so it did not run.
-        const unsigned status = response.result_int();
-        if (status == 503 || status == 408) return Failure{Execution::not_run, Reason::full};
-        return {};
-    }
     const std::string_view text(field.data(), field.size());
     const auto space = text.find(' ');
     const auto reason = reason_named(space == std::string_view::npos ? "" : text.substr(space + 1));
-    // An unknown verdict or reason counts as may-have-run.
+    // An unknown or missing verdict or reason counts as may-have-run.
     if (text.substr(0, space) != "not-run" || !reason)
         return Failure{Execution::may_have_run, reason.value_or(Reason::broken)};
     return Failure{Execution::not_run, *reason};
@@ -98,6 +96,13 @@
                                 response.result_int());
 }
 
+exchange::AnswerOwner owner_of_hop_answer(const HttpRequest& request, const HttpResponse& response) {
+    if (response[kVerdict] == "ran") return owner_of_answer(request, response);
+    const auto answered = response[kRequestId];
+    const bool is_own = answered.empty() || answered == request[kRequestId];
+    return is_own ? exchange::AnswerOwner::this_request : exchange::AnswerOwner::another_request;
+}
+
 bool is_refusal(const HttpResponse& response) { return hop::is_refusal(head_of(response)); }
 
 HttpResponse refusal(const NotRun&, double retry_in_ms) {
--- a/src/proxy/inbound.cpp
+++ b/src/proxy/inbound.cpp
@@ -118,6 +118,11 @@
     return {};
 }
 
+// The request has not been passed on: its caller may go to another proxy.
+void Inbound::mark_rejection(HttpResponse& response) const {
+    mark_verdict(response, {Execution::not_run, Reason::full});
+}
+
 RequestId Inbound::arrived(RequestPtr request, Millis spent, std::weak_ptr<Client> client) {
     const Millis now = clock_.now();
     const admission::Ticket ticket = requests_.next_ticket();
@@ -161,6 +166,7 @@
     const bool named = response && response->count(kRequestId) > 0;
     if (response) {
         end.answer_bytes = response->body().size();
+        strip_hop_by_hop(*response);
         said = leaf::try_handle_all(
             [&]() -> leaf::result<HttpResponse> { return validate_server_answer(std::move(*response)); },
             [&](const Failure& failure) {
@@ -171,7 +177,6 @@
                 end.failure = Failure{};
                 return proxy_answer(Failure{});
             });
-        strip_hop_by_hop(said);
     } else {
         end.failure = hop::failure_without_answer(outcome);
         said = proxy_answer(*end.failure);
@@ -197,6 +202,7 @@
     if (at == held_.end()) return;
     const auto client = at->second.client.lock();
     const Millis urgent_at = at->second.urgent_at;
+    response.set(kRequestId, (*at->second.message)[kRequestId]);
     held_.erase(at);
     if (!client) return;
     if (callbacks_.edition() > 0) response.set(kEdition, std::to_string(callbacks_.edition()));
--- a/src/proxy/inbound.hpp
+++ b/src/proxy/inbound.hpp
@@ -51,6 +51,7 @@
     std::string log_name(const HttpRequest& request) const override {
         return std::string(request[kRequestId]);
     }
+    void mark_rejection(HttpResponse& response) const override;
     RequestId arrived(RequestPtr request, Millis spent, std::weak_ptr<Client> client) override;
     void client_gone(RequestId id) override;
 
--- a/src/proxy/mesh_dialect.cpp
+++ b/src/proxy/mesh_dialect.cpp
@@ -2,7 +2,6 @@
 
 namespace cobaltshift::proxy {
 
-using exchange::AnswerOwner;
 using hop::RequestHistory;
 
 namespace {
@@ -29,9 +28,7 @@
     };
     // Checked again on the caller side: even if the proxy beside the server mixes up answers, none reaches
     // another request.
-    m.owner_of = [](const HttpRequest& request, const HttpResponse& response) {
-        return response[kVerdict] == "ran" ? owner_of_answer(request, response) : AnswerOwner::this_request;
-    };
+    m.owner_of = owner_of_hop_answer;
     m.body_bytes = kMaxAnswerBytes;
     return m;
 }
