Caller: no request is refused while an attempt has not ended

No caller has been shown to see this: the order of timers in caller::Caller, and the module, keep it today. Found by reading for the same class, silence about an attempt taken as proof that it did not run. Cause: AttemptRules::proof() knew of attempts that have ended only; one under way left no trace in the request's history. Change: the history holds whether an attempt is open; until its end is read there is no proof.

--- a/src/hop/attempt_rules.cpp
+++ b/src/hop/attempt_rules.cpp
@@ -34,6 +34,7 @@
             return false;
         }
     }
+    history.attempt_open = true;
     history.server = server;
     history.hop.may_wait = history.sent++ >= kMayWaitFromAttempt;
     ++counts_.tries;
@@ -41,6 +42,7 @@
 }
 
 HopAttemptResult AttemptRules::read(const AttemptEnd& end, RequestHistory& history) {
+    history.attempt_open = false;
     return std::visit([&](const auto& how) { return interpret(how, history); }, end);
 }
 
@@ -87,8 +89,8 @@
 }
 
 std::optional<NotRun> AttemptRules::proof(const RequestHistory& history) {
-    return NotRun::from(
-        {history.may_have_run ? Execution::may_have_run : Execution::not_run, history.reason});
+    const bool may_have_run = history.may_have_run || history.attempt_open;
+    return NotRun::from({may_have_run ? Execution::may_have_run : Execution::not_run, history.reason});
 }
 
 void AttemptRules::count_refused(const RequestHistory& history) {
--- a/src/hop/attempt_rules.hpp
+++ b/src/hop/attempt_rules.hpp
@@ -26,6 +26,7 @@
     unsigned sent = 0;              // all attempts, including those that no server received
     unsigned counted_attempts = 0;  // attempts that may have run or that a server itself refused
     bool may_have_run = false;
+    bool attempt_open = false;              // an attempt has been sent whose end is not known yet
     std::optional<Failure> newest_failure;  // that another proxy reported; none: no attempt got so far
     std::string server;                     // instance id of the newest attempt's server
     Reason reason = Reason::no_server;      // of the newest failure
@@ -58,7 +59,7 @@
     bool may_send(Millis now, std::size_t live_proxies, const std::string& server, RequestHistory& history);
     // Interprets the end of an attempt and records it in `history`.
     HopAttemptResult read(const AttemptEnd& end, RequestHistory& history);
-    // Proof that the request has not run; none if it may have.
+    // Proof that the request has not run; none if it may have, or if an attempt has not ended.
     static std::optional<NotRun> proof(const RequestHistory& history);
     // Bounds the advice to a refused client when to retry, in ms.
     static Millis retry_in(Millis advised);
