--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -5,30 +5,28 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 #include <filesystem>
 
 #include "lab/child.hpp"
 #include "lab/soak_client.hpp"
+#include "lab/soak_operator.hpp"
 #include "lab/soak_server.hpp"
 
 namespace cobaltshift::lab {
 
 namespace {
 
-using asio::awaitable;
 using Steady = std::chrono::steady_clock;
-constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
 constexpr std::uint16_t kControlPort = 8620, kInboundPort = 8624, kReadinessPort = 8625, kAppPort = 8628,
                         kOutboundPort = 8629;
 constexpr double kGraceMs = 6000;
+constexpr std::chrono::milliseconds kReadinessPatience{1200};
 constexpr std::size_t kControls = 3;
-constexpr double kReadyWithinMs = 40000, kReadBackWithinMs = 10000, kClientsEndWithinMs = 14000;
+constexpr double kReadyWithinMs = 40000, kClientsEndWithinMs = 14000;
 constexpr double kMostStoppingAtOnce = 0.4;  // of the proxies
 constexpr double kMinFreezeMs = 50, kMaxFreezeMs = 1200;
 
@@ -81,10 +79,6 @@
     bool frozen = false;
 };
 
-double ms_since(Steady::time_point at) {
-    return std::chrono::duration<double, std::milli>(Steady::now() - at).count();
-}
-
 // Loopback addresses of one soak: runs beside one another don't meet.
 struct Networks {
     std::string controls, proxies;  // all but the last number of an address
@@ -102,7 +96,8 @@
         : plan_(plan),
           random_(seed),
           clients_{io_, ledger_, [this] { return a_proxy(); }, clients_stopped_},
-          net_(networks_of(static_cast<unsigned>(::getpid()))) {
+          net_(networks_of(static_cast<unsigned>(::getpid()))),
+          operator_(io_, ledger_, random_, control_endpoints()) {
         for (std::size_t i = 0; i < kControls; ++i) add(true, i);
         for (std::size_t i = 0; i < plan_.proxies; ++i) add(false, i);
     }
@@ -117,10 +112,17 @@
     const SoakLedger& ledger() const { return ledger_; }
     std::map<std::string, std::uint64_t> struck() const { return struck_; }
     double most_resident_mb() const { return most_resident_mb_; }
-    std::uint64_t acknowledged() const { return acknowledged_; }
+    std::uint64_t acknowledged() const { return operator_.acknowledged(); }
     std::size_t processes() const { return machines_.size(); }
 
 private:
+    std::vector<tcp::endpoint> control_endpoints() const {
+        std::vector<tcp::endpoint> all;
+        for (std::size_t i = 0; i < kControls; ++i)
+            all.emplace_back(asio::ip::make_address(net_.controls + std::to_string(i + 1)), kControlPort);
+        return all;
+    }
+
     // ---- Processes ---------------------------------------------------------------------------------------
 
     void add(bool control, std::size_t number) {
@@ -197,7 +199,7 @@
         const Steady::time_point since = Steady::now();
         std::optional<int> code;
         while (!(code = machine.child->ended()) && ms_since(since) < kGraceMs + plan_.end_late_ms)
-            co_await pause(10);
+            co_await pause(io_, 10);
         if (!code) {
             ledger_.accuse("GRACE", machine.name + " was still there after the grace time");
             machine.child->signal(SIGKILL);
@@ -224,24 +226,19 @@
         machine.frozen = true;
         ++struck_["frozen"];
         machine.child->signal(SIGSTOP);
-        co_await pause(kMinFreezeMs + (kMaxFreezeMs - kMinFreezeMs) * random_.unit());
+        co_await pause(io_, kMinFreezeMs + (kMaxFreezeMs - kMinFreezeMs) * random_.unit());
         machine.child->signal(SIGCONT);
         machine.frozen = false;
     }
 
     // ---- The day -----------------------------------------------------------------------------------------
 
-    awaitable<void> pause(double ms) {
-        asio::steady_timer timer(io_, std::chrono::microseconds(static_cast<long>(ms * 1000)));
-        co_await timer.async_wait(kTuple);
-    }
-
     awaitable<void> day() {
         for (Machine& machine : machines_) start(machine, true);
         for (std::size_t i = 0; i < plan_.proxies; ++i)
             start_soak_server(io_, {proxy(i).ip, "goods", "i-" + std::to_string(i), kAppPort, kControlPort},
                               plan_.family.servers, ledger_, 1 + random_.below(1 << 30), servers_stopped_);
-        co_await change_configuration();
+        co_await operator_.change_once();
         const bool ready = co_await all_ready();
         if (!ready) {
             ledger_.accuse("READY", "not all proxies were ready in time");
@@ -250,18 +247,18 @@
         for (std::size_t i = 0; i < plan_.proxies * plan_.family.clients_per_proxy; ++i)
             start_soak_client(clients_, 1 + random_.below(1 << 30));
         const Steady::time_point begun = Steady::now();
-        asio::co_spawn(io_, change_series(), asio::detached);
+        asio::co_spawn(io_, operator_.change_until(changes_stopped_), asio::detached);
         while (ms_since(begun) < plan_.seconds * 1000) {
             strike();
-            co_await pause(100 + 500 * random_.unit());
+            co_await pause(io_, 100 + 500 * random_.unit());
         }
         *changes_stopped_ = *clients_stopped_ = true;
         const Steady::time_point calm = Steady::now();
         while ((clients_.open > 0 || stopping() > 0) && ms_since(calm) < kClientsEndWithinMs)
-            co_await pause(20);
+            co_await pause(io_, 20);
         if (clients_.open > 0)
             ledger_.accuse("HELD", std::to_string(clients_.open) + " clients still wait after the end");
-        co_await read_back();
+        co_await operator_.read_back();
         co_await stop_all();
         ledger_.close(!plan_.family.kills, plan_.crossed_within_ms);
         end();
@@ -309,123 +306,23 @@
         while (ready < plan_.proxies && ms_since(since) < kReadyWithinMs) {
             ready = 0;
             for (std::size_t i = 0; i < plan_.proxies; ++i) {
-                const auto response = co_await call({asio::ip::make_address(proxy(i).ip), kReadinessPort},
-                                                    HttpRequest(http::verb::get, "/api/ready", 11));
+                const auto response =
+                    co_await call_once(io_, {asio::ip::make_address(proxy(i).ip), kReadinessPort},
+                                       HttpRequest(http::verb::get, "/api/ready", 11), kReadinessPatience);
                 ready += response && response->result_int() == 200;
             }
-            co_await pause(50);
+            co_await pause(io_, 50);
         }
         co_return ready == plan_.proxies;
     }
 
-    // ---- The operator ------------------------------------------------------------------------------------
-
-    awaitable<std::optional<HttpResponse>> call(tcp::endpoint to, HttpRequest request) {
-        beast::tcp_stream stream(io_);
-        stream.expires_after(std::chrono::milliseconds(1200));
-        request.set(http::field::host, to.address().to_string());
-        request.prepare_payload();
-        const auto [connect_error] = co_await stream.async_connect(to, kTuple);
-        if (connect_error) co_return std::nullopt;
-        const auto [write_error, written] = co_await http::async_write(stream, request, kTuple);
-        if (write_error) co_return std::nullopt;
-        beast::flat_buffer buffer;
-        HttpResponse response;
-        const auto [read_error, read] = co_await http::async_read(stream, buffer, response, kTuple);
-        if (read_error) co_return std::nullopt;
-        co_return response;
-    }
-    tcp::endpoint control(std::size_t number) {
-        return {asio::ip::make_address(machines_[number].ip), kControlPort};
-    }
-    static std::optional<tcp::endpoint> redirect(const HttpResponse& response) {
-        if (response.result_int() != 307) return {};
-        const std::string location(response[http::field::location]);
-        const auto from = location.find("//"), colon = location.find(':', from + 2);
-        if (from == std::string::npos || colon == std::string::npos) return {};
-        return tcp::endpoint(asio::ip::make_address(location.substr(from + 2, colon - from - 2)),
-                             static_cast<std::uint16_t>(std::atoi(location.c_str() + colon + 1)));
-    }
-
-    std::string configuration(std::uint64_t version) {
-        const auto route = [&](const std::string& name, const char* kind) {
-            return "\"" + name + R"(":{"host":"soak.example","path_prefix":"/)" + name +
-                   R"(/","route_kind":")" + kind + R"(","deadline_s":)" +
-                   std::to_string(5 + random_.below(5)) +
-                   R"(,"target_s":1,"priority":1,"service":"goods","tries":2})";
-        };
-        std::string routes = route("plain", "plain") + "," + route("registered", "registered");
-        for (std::size_t i = random_.below(12); i-- > 0;)
-            routes += "," + route("idle" + std::to_string(i), "plain");
-        return R"({"edition":"r)" + std::to_string(version) + R"(","routes":{)" + routes +
-               R"(},"services":{"goods":{"health_path":"/health","max_connections":500}},)"
-               R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_read_s":3,"idle_timeout_s":)" +
-               std::to_string(6 + random_.below(10)) + "}}";
-    }
-
-    // One change, sent until it is acknowledged.
-    awaitable<void> change_configuration() {
-        const std::uint64_t next = version_ + 1 + random_.below(3);
-        HttpRequest request(http::verb::put, "/api/config", 11);
-        request.set(http::field::if_match, version_ == 0 ? "0" : "r" + std::to_string(version_));
-        request.set(http::field::content_type, "application/json");
-        request.body() = configuration(next);
-        std::optional<tcp::endpoint> to;
-        for (int tries = 0; tries < 200; ++tries) {
-            const tcp::endpoint next_call = to ? *to : control(random_.below(kControls));
-            const auto response = co_await call(next_call, request);
-            to = response ? redirect(*response) : std::nullopt;
-            if (response && response->result_int() == 200) {
-                version_ = next;
-                body_ = request.body();
-                ++acknowledged_;
-                co_return;
-            }
-            if (response && response->result_int() / 100 == 4) {
-                ledger_.accuse("CONFIG", "r" + std::to_string(next) + " got " +
-                                             std::to_string(response->result_int()) + " " + response->body());
-                co_return;
-            }
-            if (!to) co_await pause(50);
-        }
-        ledger_.accuse("ACKS", "r" + std::to_string(next) + " was never acknowledged");
-    }
-    awaitable<void> change_series() {
-        while (!*changes_stopped_) {
-            co_await change_configuration();
-            co_await pause(50 + 150 * random_.unit());
-        }
-    }
-
-    // Every control node names the newest acknowledged version, or says that it can't.
-    awaitable<void> read_back() {
-        for (std::size_t i = 0; i < kControls; ++i) {
-            const Steady::time_point since = Steady::now();
-            std::string found = "no answer";
-            while (ms_since(since) < kReadBackWithinMs) {
-                const HttpRequest read(http::verb::get, "/api/config", 11);
-                std::optional<HttpResponse> last = co_await call(control(i), read);
-                const std::optional<tcp::endpoint> leader = last ? redirect(*last) : std::nullopt;
-                if (leader) last = co_await call(*leader, read);
-                if (last && last->result_int() == 200) {
-                    found = last->body();
-                    break;
-                }
-                co_await pause(50);
-            }
-            if (found.find("\"r" + std::to_string(version_) + "\"") == std::string::npos)
-                ledger_.accuse("LOST", "r" + std::to_string(version_) + " was acknowledged, and " +
-                                           machines_[i].name + " answers " + found.substr(0, 100));
-        }
-    }
-
     awaitable<void> stop_all() {
         for (Machine& machine : machines_) {
             most_resident_mb_ = std::max(most_resident_mb_, machine.child->resident_mb());
             machine.stopping = true;
             // One that was started a moment ago has no handlers yet.
             const Steady::time_point since = Steady::now();
-            while (!hears(machine) && ms_since(since) < kReadyWithinMs) co_await pause(5);
+            while (!hears(machine) && ms_since(since) < kReadyWithinMs) co_await pause(io_, 5);
             machine.child->signal(SIGTERM);
         }
         for (Machine& machine : machines_) co_await watch_end(machine, false);
@@ -441,10 +338,9 @@
                           changes_stopped_ = std::make_shared<bool>(false);
     SoakClients clients_;
     const Networks net_;
+    SoakOperator operator_;
     std::vector<Machine> machines_;
     std::map<std::string, std::uint64_t> struck_;
-    std::uint64_t version_ = 0, acknowledged_ = 0;
-    std::string body_;
     double most_resident_mb_ = 0;
 };
 
--- a/src/lab/soak_client.cpp
+++ b/src/lab/soak_client.cpp
@@ -1,18 +1,16 @@
 #include "lab/soak_client.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <optional>
 
+#include "lab/soak_io.hpp"
+
 namespace cobaltshift::lab {
 
 namespace {
 
-using asio::awaitable;
 using Steady = std::chrono::steady_clock;
-constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds kDeadline{8000};
 // Longer than this past its deadline without an answer, a request is held for good.
 constexpr std::chrono::milliseconds kAnswerWithin{10000};
@@ -20,10 +18,6 @@
 constexpr double kHalved = 0.2, kPaired = 0.1, kSlowlyRead = 0.03, kLargeBody = 0.1, kLongRest = 0.05;
 constexpr std::size_t kLargeBytes = 200 * 1024;
 
-double ms_since(Steady::time_point at) {
-    return std::chrono::duration<double, std::milli>(Steady::now() - at).count();
-}
-
 class Client {
 public:
     Client(SoakClients& clients, std::uint64_t seed)
@@ -33,21 +27,17 @@
         while (!*clients_.stopped) {
             if (!connected_) co_await connect();
             if (!connected_) {
-                co_await pause(20 + 80 * random_.unit());
+                co_await pause(clients_.io, 20 + 80 * random_.unit());
                 continue;
             }
             co_await use_connection();
-            co_await pause(random_.unit() < kLongRest ? 3000 * random_.unit() : 60 * random_.unit());
+            co_await pause(clients_.io,
+                           random_.unit() < kLongRest ? 3000 * random_.unit() : 60 * random_.unit());
         }
         --clients_.open;
     }
 
 private:
-    awaitable<void> pause(double ms) {
-        asio::steady_timer timer(clients_.io, std::chrono::microseconds(static_cast<long>(ms * 1000)));
-        co_await timer.async_wait(kTuple);
-    }
-
     awaitable<void> connect() {
         buffer_.clear();
         stream_.emplace(clients_.io);
@@ -100,7 +90,7 @@
             from = 1 + random_.below(text.size() - 1);
             const bool first = co_await write_part(std::string_view(text).substr(0, from));
             if (!first) co_return false;
-            co_await pause(200 * random_.unit());
+            co_await pause(clients_.io, 200 * random_.unit());
         }
         const bool all = co_await write_part(std::string_view(text).substr(from));
         co_return all;
@@ -121,7 +111,7 @@
         error_code error;
         if (random_.unit() < kSlowlyRead) {
             error = std::get<0>(co_await http::async_read_header(*stream_, buffer_, parser, kTuple));
-            if (!error) co_await pause(700 * random_.unit());
+            if (!error) co_await pause(clients_.io, 700 * random_.unit());
         }
         // With a parser that is done, or has failed, it would wait for bytes of another answer.
         if (!error && !parser.is_done())
--- a/src/lab/soak_server.cpp
+++ b/src/lab/soak_server.cpp
@@ -1,18 +1,17 @@
 #include "lab/soak_server.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <list>
 #include <sstream>
 
+#include "lab/soak_io.hpp"
+
 namespace cobaltshift::lab {
 
 namespace {
 
-using asio::awaitable;
-constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds kHeartbeatPatience{1000};
 constexpr double kHeartbeatMs = 500;
 constexpr double kSilent = 0.004, kLong = 0.02, kLarge = 0.05;  // of the requests
 constexpr std::size_t kLargeBody = 300 * 1024, kLongRequest = 64 * 1024;
@@ -59,11 +58,6 @@
 };
 using ServerPtr = std::shared_ptr<Server>;
 
-awaitable<void> pause(asio::io_context& io, double ms) {
-    asio::steady_timer timer(io, std::chrono::microseconds(static_cast<long>(ms * 1000)));
-    co_await timer.async_wait(kTuple);
-}
-
 // ---- Requests ---------------------------------------------------------------------------------------------
 
 // As the users' wire examples have it: without the request's id.
@@ -218,22 +212,12 @@
 
 // One call to the proxy beside it; true if it was acknowledged.
 awaitable<bool> call(ServerPtr server, http::verb method, std::string body) {
-    const SoakServerPlace& place = server->place;
-    beast::tcp_stream stream(server->io);
-    stream.expires_after(std::chrono::seconds(1));
-    const tcp::endpoint to(asio::ip::make_address(place.ip), place.control_port);
-    if (const auto [error] = co_await stream.async_connect(to, kTuple); error) co_return false;
     HttpRequest request(method, "/api/servers/" + server->instance_id(), 11);
-    request.set(http::field::host, place.ip);
     request.set(http::field::content_type, "application/json");
     request.body() = std::move(body);
-    request.prepare_payload();
-    if (const auto [error, bytes] = co_await http::async_write(stream, request, kTuple); error)
-        co_return false;
-    beast::flat_buffer buffer;
-    HttpResponse response;
-    const auto [error, bytes] = co_await http::async_read(stream, buffer, response, kTuple);
-    co_return !error && response.result_int() / 100 == 2;
+    const tcp::endpoint to(asio::ip::make_address(server->place.ip), server->place.control_port);
+    const auto response = co_await call_once(server->io, to, std::move(request), kHeartbeatPatience);
+    co_return response && response->result_int() / 100 == 2;
 }
 
 awaitable<bool> heartbeat_once(ServerPtr server) {
