Hop: a server's answer is judged before it loses its connection fields

Change: validate_server_answer() judges, then strips, then marks. The case about the Connection field asks for id and stamp too.

--- a/src/proxy/hop_headers.cpp
+++ b/src/proxy/hop_headers.cpp
@@ -58,6 +58,7 @@
 
 leaf::result<HttpResponse> validate_server_answer(HttpResponse response) {
     if (const auto failure = hop::failure_of_answer(head_of(response))) return leaf::new_error(*failure);
+    strip_hop_by_hop(response);
     response.set(kVerdict, "ran");
     response.erase(kEdition);
     return response;
--- a/src/proxy/hop_headers.hpp
+++ b/src/proxy/hop_headers.hpp
@@ -34,8 +34,8 @@
 std::string to_text(const Hop& hop);
 std::optional<Hop> parse_hop(beast::string_view text);
 
-// Returns the server's answer, marked `Mesh-Verdict: ran`, or a Failure as the error if it must not be passed
-// on (see hop::failure_of_answer).
+// Returns the server's answer without its hop-by-hop fields, marked `Mesh-Verdict: ran`, or a Failure as the
+// error if it must not be passed on (see hop::failure_of_answer).
 leaf::result<HttpResponse> validate_server_answer(HttpResponse response);
 // The answer by which a proxy reports a failure to another proxy.
 HttpResponse proxy_answer(const Failure& failure);
--- a/src/proxy/inbound.cpp
+++ b/src/proxy/inbound.cpp
@@ -166,7 +166,6 @@
     const bool named = response && response->count(kRequestId) > 0;
     if (response) {
         end.answer_bytes = response->body().size();
-        strip_hop_by_hop(*response);
         said = leaf::try_handle_all(
             [&]() -> leaf::result<HttpResponse> { return validate_server_answer(std::move(*response)); },
             [&](const Failure& failure) {
--- a/tests/mesh/incident_refused_test.cpp
+++ b/tests/mesh/incident_refused_test.cpp
@@ -31,7 +31,6 @@
 struct WaitingClient : Client {
     std::optional<HttpResponse> said;
     void answer(HttpResponse response) override { said = std::move(response); }
-    std::string verdict() const { return said ? std::string((*said)[kVerdict]) : "no answer"; }
 };
 
 // Inbound, and a server that runs `script` on each connection.
@@ -41,8 +40,8 @@
         : app_(std::move(script), receive_buffer), boot_(beside(app_)) {
         inbound_.on_heartbeat("i-0", 4, false, 1);
     }
-    // The verdict on a once-only request, when it has come.
-    std::string verdict_on(const std::string& id, const std::string& body = "") {
+    // The answer to a once-only request, when it has come.
+    HttpResponse answer_to(const std::string& id, const std::string& body = "") {
         auto request = std::make_shared<HttpRequest>(http::verb::post, "/x", 11);
         request->set(kRequestId, id);
         request->set(kDeadline, "2500");
@@ -55,7 +54,10 @@
         const auto end = std::chrono::steady_clock::now() + lab::kPatience;
         while (!client->said && std::chrono::steady_clock::now() < end) run_for(std::chrono::milliseconds(1));
         run_for(kReuseDelay);
-        return client->verdict();
+        return client->said.value_or(HttpResponse());
+    }
+    std::string verdict_on(const std::string& id, const std::string& body = "") {
+        return std::string(answer_to(id, body)[kVerdict]);
     }
     int connections() const { return app_.connections; }
 
@@ -194,7 +196,10 @@
                          id_field(request) + field(kPostmark, "3e1b") +
                              "Connection: Mesh-Verdict, Request-Id, Postmark\r\n");
     });
-    CHECK(proxy.verdict_on("a") == "ran");
+    const HttpResponse answer = proxy.answer_to("a");
+    CHECK(answer[kVerdict] == "ran");
+    CHECK(answer[kRequestId] == "a");
+    CHECK(answer[kPostmark] == "3e1b");
 }
 
 TEST_SUITE_END();
