Tests: clients that nobody controls, and late heartbeats, against real processes

The suite had no test that starts the programs with narrow limits, and none that restarts a proxy between a server's deregistration and a late heartbeat.

Each test starts a control node and two proxies of 48 MB and 800 descriptors: slow readers of long answers, heads of many short fields or without end, empty lines, chunked bodies, requests sent on unread, at both proxies of a request. A verdict rests on the process's life, on memory (resident, and received but unread) and descriptors under the limit, and on one ordinary request that is served beside the crowd.

The machines of a mesh stand once now, for the soak and these tests.

--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 
 #include "lab/child.hpp"
+#include "lab/mesh_machine.hpp"
 #include "lab/soak_client.hpp"
 #include "lab/soak_operator.hpp"
 #include "lab/soak_server.hpp"
@@ -21,8 +22,8 @@
 
 using Steady = std::chrono::steady_clock;
 
-constexpr std::uint16_t kControlPort = 8620, kInboundPort = 8624, kReadinessPort = 8625, kAppPort = 8628,
-                        kOutboundPort = 8629;
+using namespace mesh_ports;
+
 constexpr double kGraceMs = 6000;
 constexpr std::chrono::milliseconds kReadinessPatience{1200};
 constexpr std::size_t kControls = 3;
@@ -71,32 +72,22 @@
     std::string log_folder;  // where the processes' logs are kept; empty: they are not
 };
 
-struct Machine {
-    std::string name, ip, program, settings, file;
+struct Machine : MeshMachine {
+    explicit Machine(MeshMachine machine) : MeshMachine(std::move(machine)) {}
+    std::string file;
     std::unique_ptr<Child> child;
     bool stopping = false;
     bool killed = false;
     bool frozen = false;
 };
 
-// Loopback addresses of one soak: runs beside one another don't meet.
-struct Networks {
-    std::string controls, proxies;  // all but the last number of an address
-};
-Networks networks_of(unsigned pid) {
-    constexpr unsigned kSecond = 200, kThird = 100;
-    const std::string second = "127." + std::to_string(20 + pid % kSecond) + ".";
-    const unsigned third = 2 * (pid / kSecond % kThird);
-    return {second + std::to_string(third) + ".", second + std::to_string(third + 1) + "."};
-}
-
 class Soak {
 public:
     Soak(Plan plan, std::uint64_t seed)
         : plan_(plan),
           random_(seed),
           clients_{io_, ledger_, [this] { return a_proxy(); }, clients_stopped_},
-          net_(networks_of(static_cast<unsigned>(::getpid()))),
+          networks_(MeshNetworks::of_this_process()),
           operator_(io_, ledger_, random_, control_endpoints()) {
         for (std::size_t i = 0; i < kControls; ++i) add(true, i);
         for (std::size_t i = 0; i < plan_.proxies; ++i) add(false, i);
@@ -116,61 +107,27 @@
     std::size_t processes() const { return machines_.size(); }
 
 private:
-    std::vector<tcp::endpoint> control_endpoints() const {
-        std::vector<tcp::endpoint> all;
-        for (std::size_t i = 0; i < kControls; ++i)
-            all.emplace_back(asio::ip::make_address(net_.controls + std::to_string(i + 1)), kControlPort);
-        return all;
-    }
+    std::vector<tcp::endpoint> control_endpoints() const { return networks_.control_endpoints(kControls); }
 
     // ---- Processes ---------------------------------------------------------------------------------------
 
     void add(bool control, std::size_t number) {
-        Machine machine;
-        machine.name = (control ? "control-" : "proxy-") + std::to_string(number);
-        machine.ip = (control ? net_.controls : net_.proxies) + std::to_string(number + 1);
-        machine.program = beside(control ? "cobaltshift-control" : "cobaltshift-proxy");
-        std::string seeds;
-        for (std::size_t i = 0; i < kControls; ++i)
-            seeds += (i > 0 ? "," : "") + net_.controls + std::to_string(i + 1) + ":" +
-                     std::to_string(kControlPort);
-        const auto at = [&](const char* key, std::uint16_t port) {
-            return std::string(key) + "=" + machine.ip + ":" + std::to_string(port) + "\n";
-        };
-        machine.settings = "node_name=" + machine.name + "\nip=" + machine.ip +
-                           "\nzone=north\nregion=upland\nzones.north=upland\n" +
-                           at("listen.control", kControlPort) +
-                           "internal_ports=7600,7615\nseed_nodes=" + seeds +
-                           "\nheartbeat_s=0.5\nlimits.memory_mb=256\nlimits.file_limit=2000\n"
-                           "tolerate.machines=1\ntolerate.zones=0\ntolerate.regions=0\n";
-        if (control) {
-            machine.settings +=
-                "serves=dispatch\ncounted=true\ndata_dir=" + folder_.path() + "/" + machine.name + "\n";
-        } else {
-            if (plan_.family.link_mbps > 0)
-                machine.settings += "limits.link_mbps=" + std::to_string(plan_.family.link_mbps) + "\n";
-            machine.settings += "serves=branch\ncounted=false\nservice=goods\n" +
-                                at("listen.inbound", kInboundPort) + at("listen.outbound", kOutboundPort) +
-                                at("listen.readiness", kReadinessPort) + at("app_address", kAppPort);
-        }
-        machines_.push_back(std::move(machine));
+        const std::string seeds = networks_.seed_nodes(kControls);
+        machines_.emplace_back(
+            control ? control_machine(networks_, number, seeds, folder_)
+                    : proxy_machine(networks_, number, seeds, {.link_mbps = plan_.family.link_mbps}));
     }
 
     void write_settings(Machine& machine, bool first) {
-        const std::string slack = std::to_string(40 + random_.below(40));
-        machine.file = folder_.write(
-            machine.name + ".conf",
-            machine.settings + "first_boot=" + (first ? "true" : "false") +
-                "\nbounds=contact_s=3,drain_s=2.5,grace_s=6,lost_s=0.2,apply_s=2.5,retry_ratio=0.2,"
-                "retry_window_s=10,retry_slack=" +
-                slack + "\n");
+        const auto slack = static_cast<unsigned>(40 + random_.below(40));
+        machine.file = folder_.write(machine.name + ".conf", machine.settings_text(first, slack));
     }
     void start(Machine& machine, bool first) {
         write_settings(machine, first);
         machine.stopping = machine.killed = false;
         machine.child = std::make_unique<Child>(
             io_,
-            Child::Command{machine.program,
+            Child::Command{beside(machine.program),
                            {},
                            {"COBALTSHIFT_BOOT=" + machine.file},
                            plan_.log_folder.empty() ? "" : plan_.log_folder + "/" + machine.name + ".log"},
@@ -337,7 +294,7 @@
                           servers_stopped_ = std::make_shared<bool>(false),
                           changes_stopped_ = std::make_shared<bool>(false);
     SoakClients clients_;
-    const Networks net_;
+    const MeshNetworks networks_;
     SoakOperator operator_;
     std::vector<Machine> machines_;
     std::map<std::string, std::uint64_t> struck_;
--- a/src/lab/soak_io.hpp
+++ b/src/lab/soak_io.hpp
@@ -25,13 +25,15 @@
     co_await timer.async_wait(kTuple);
 }
 
-// Sends one request; none if no whole answer comes within `patience`.
+// Sends one request; none if no whole answer comes within `patience`. `host`: of its Host field; empty: the
+// address.
 inline awaitable<std::optional<HttpResponse>> call_once(asio::io_context& io, tcp::endpoint to,
                                                         HttpRequest request,
-                                                        std::chrono::milliseconds patience) {
+                                                        std::chrono::milliseconds patience,
+                                                        std::string host = {}) {
     beast::tcp_stream stream(io);
     stream.expires_after(patience);
-    request.set(http::field::host, to.address().to_string());
+    request.set(http::field::host, host.empty() ? to.address().to_string() : host);
     request.prepare_payload();
     const auto [connect_error] = co_await stream.async_connect(to, kTuple);
     if (connect_error) co_return std::nullopt;
--- a/src/lab/soak_server.cpp
+++ b/src/lab/soak_server.cpp
@@ -13,9 +13,9 @@
 
 constexpr std::chrono::milliseconds kHeartbeatPatience{1000};
 constexpr double kHeartbeatMs = 500;
-constexpr double kSilent = 0.004, kLong = 0.02, kLarge = 0.05;  // of the requests
-constexpr std::size_t kLargeBody = 300 * 1024, kLongRequest = 64 * 1024;
-constexpr std::size_t kMaxRequestBody = 1 << 20;
+constexpr double kSilent = 0.004, kLong = 0.02;  // of the requests
+constexpr std::size_t kShortAnswer = 4096, kLongRequest = 64 * 1024;
+constexpr std::size_t kMaxRequestBody = 4 << 20;
 constexpr double kMaxLateCopyMs = 12;
 // An instance's life, and for how long its address is without one.
 constexpr double kMinLifeMs = 2500, kMaxLifeMs = 9000, kMaxGapMs = 600;
@@ -84,7 +84,7 @@
     response.set("Request-Id", request["Request-Id"]);
     response.set("Postmark", "soak." + server.instance_id());
     response.body() = std::string(request["Request-Id"]);
-    if (server.chance(kLarge)) response.body().append(kLargeBody, 'x');
+    if (server.chance(server.habits.large)) response.body().append(server.habits.large_bytes, 'x');
     return response;
 }
 
@@ -115,7 +115,7 @@
     response.prepare_payload();
     const bool written = co_await write(connection, text_of(response));
     if (!written || !keep_alive) co_return false;
-    const bool is_short = response.body().size() < kLargeBody;
+    const bool is_short = response.body().size() < kShortAnswer;
     if (is_short && server->chance(server->habits.late_copy))
         asio::co_spawn(server->io, write_late(server, connection, text_of(response)), asio::detached);
     if (server->chance(server->habits.nameless_refusal)) {
--- a/src/lab/soak_server.hpp
+++ b/src/lab/soak_server.hpp
@@ -27,7 +27,9 @@
     double early_refusal = 0;         // of long requests: turned away before the body is read
     double reset_after_run = 0;       // a reset takes the place of the answer
     double closing_answer = 0;        // Connection: close
-    bool replaced = false;            // its instances end and others take their place at the same address
+    double large = 0.05;              // the answer has `large_bytes` more than its request's id
+    std::size_t large_bytes = 300 * 1024;
+    bool replaced = false;  // its instances end and others take their place at the same address
 };
 
 // Runs on `io` until `stopped` is true.
--- /dev/null
+++ b/tests/processes/mesh_under_test.cpp
@@ -0,0 +1,184 @@
+#include "processes/mesh_under_test.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace cobaltshift::process_tests {
+
+using namespace lab;
+using namespace lab::mesh_ports;
+
+namespace {
+
+constexpr std::size_t kClientProxy = 0, kServerProxy = 1;
+constexpr double kPatienceMs = 60000, kRetryAfterMs = 100, kSampleEveryMs = 20;
+constexpr std::chrono::milliseconds kCallPatience{5000}, kReadinessPatience{1200};
+constexpr unsigned kRetrySlack = 60;
+
+HttpRequest ordinary_request(std::uint64_t number) {
+    HttpRequest request(http::verb::post, "/plain/ordinary", 11);
+    request.set("Request-Id", "ordinary-" + std::to_string(number));
+    request.set("Deadline-Ms", "4000");
+    request.body() = "a short body";
+    return request;
+}
+
+// A field of /proc/PID/status in MB.
+double status_mb(pid_t pid, const std::string& field) {
+    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(file, line);)
+        if (line.starts_with(field + ":")) return std::atof(line.c_str() + field.size() + 1) / 1024;
+    return 0;
+}
+
+// Bytes that the kernel has received for the connections of `ip` and that nobody has read.
+double unread_mb(const std::string& ip) {
+    const auto address = asio::ip::make_address_v4(ip).to_bytes();
+    char prefix[16];
+    std::snprintf(prefix, sizeof prefix, "%02X%02X%02X%02X:", address[3], address[2], address[1], address[0]);
+    std::ifstream file("/proc/net/tcp");
+    double bytes = 0;
+    for (std::string line; std::getline(file, line);) {
+        std::istringstream words(line);
+        std::string slot, local, remote, state, queues;
+        words >> slot >> local >> remote >> state >> queues;
+        constexpr const char* kEstablished = "01";
+        if (state != kEstablished || !local.starts_with(prefix)) continue;
+        bytes += static_cast<double>(std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16));
+    }
+    return bytes / (1 << 20);
+}
+
+std::size_t open_descriptors(pid_t pid) {
+    std::error_code gone;
+    std::size_t count = 0;
+    for (std::filesystem::directory_iterator at("/proc/" + std::to_string(pid) + "/fd", gone), end;
+         !gone && at != end; at.increment(gone))
+        ++count;
+    return count;
+}
+
+}  // namespace
+
+MeshUnderTest::MeshUnderTest(asio::io_context& io, std::size_t answer_bytes)
+    : io_(io),
+      networks_(MeshNetworks::of_this_process()),
+      answer_bytes_(answer_bytes),
+      operator_(io, ledger_, random_, networks_.control_endpoints(1)) {
+    constexpr double kLinkMbps = 1000;
+    const std::string seeds = networks_.seed_nodes(1);
+    const ProxyLimits client_side{kLinkMbps, kMemoryMb, kFileLimit, "desk"};
+    const ProxyLimits server_side{kLinkMbps, kMemoryMb, kFileLimit, "goods"};
+    start(control_machine(networks_, 0, seeds, folder_));
+    start(proxy_machine(networks_, kClientProxy, seeds, client_side));
+    start(proxy_machine(networks_, kServerProxy, seeds, server_side));
+}
+
+void MeshUnderTest::start(const MeshMachine& machine) {
+    processes_.push_back({machine, new_process(machine, true)});
+}
+
+std::unique_ptr<Child> MeshUnderTest::new_process(const MeshMachine& machine, bool first_boot) {
+    const std::string file =
+        folder_.write(machine.name + ".conf", machine.settings_text(first_boot, kRetrySlack));
+    const Child::Command command{
+        std::string(COBALTSHIFT_PROGRAMS) + "/" + machine.program, {}, {"COBALTSHIFT_BOOT=" + file}};
+    return std::make_unique<Child>(io_, command, nullptr);
+}
+
+awaitable<bool> MeshUnderTest::restart_server_proxy() {
+    Process& process = processes_.back();
+    process.child.reset();
+    process.child = new_process(process.machine, false);
+    const SteadyTime since = std::chrono::steady_clock::now();
+    const tcp::endpoint readiness(asio::ip::make_address(process.machine.ip), kReadinessPort);
+    while (ms_since(since) < kPatienceMs) {
+        const auto response = co_await call_once(
+            io_, readiness, HttpRequest(http::verb::get, "/api/ready", 11), kReadinessPatience);
+        if (response && response->result() == http::status::ok) co_return true;
+        co_await pause(io_, kRetryAfterMs);
+    }
+    co_return false;
+}
+
+awaitable<unsigned> MeshUnderTest::call_server_proxy(http::verb method, std::string target,
+                                                     std::string body) {
+    HttpRequest request(method, target, 11);
+    request.set(http::field::content_type, "application/json");
+    request.body() = std::move(body);
+    const tcp::endpoint control(asio::ip::make_address(processes_.back().machine.ip), kControlPort);
+    const auto response = co_await call_once(io_, control, std::move(request), kCallPatience);
+    co_return response ? response->result_int() : 0;
+}
+
+awaitable<unsigned> MeshUnderTest::request_once() {
+    static std::uint64_t number = 0;
+    const tcp::endpoint to = outbound();
+    HttpRequest request = ordinary_request(++number);
+    // The route is found by its host.
+    const auto response = co_await call_once(io_, to, std::move(request), kCallPatience, "soak.example");
+    co_return response ? response->result_int() : 0;
+}
+
+tcp::endpoint MeshUnderTest::server() const {
+    return {asio::ip::make_address(networks_.proxy_ip(kServerProxy)), kAppPort};
+}
+
+tcp::endpoint MeshUnderTest::outbound() const {
+    return {asio::ip::make_address(networks_.proxy_ip(kClientProxy)), kOutboundPort};
+}
+
+tcp::endpoint MeshUnderTest::inbound() const {
+    return {asio::ip::make_address(networks_.proxy_ip(kServerProxy)), kInboundPort};
+}
+
+awaitable<bool> MeshUnderTest::start_server() {
+    SoakServerHabits habits;
+    habits.capacity = 200;
+    habits.large = answer_bytes_ > 0 ? 1 : 0;
+    habits.large_bytes = answer_bytes_;
+    start_soak_server(io_, {networks_.proxy_ip(kServerProxy), "goods", "i-1", kAppPort, kControlPort}, habits,
+                      ledger_, 1, stopped_);
+    co_await operator_.change_once();
+    const bool serves = co_await serves_ordinary_request();
+    co_return serves;
+}
+
+awaitable<bool> MeshUnderTest::serves_ordinary_request() {
+    const SteadyTime since = std::chrono::steady_clock::now();
+    while (ms_since(since) < kPatienceMs) {
+        const unsigned status = co_await request_once();
+        if (status == 200) co_return true;
+        co_await pause(io_, kRetryAfterMs);
+    }
+    co_return false;
+}
+
+awaitable<void> MeshUnderTest::watch() {
+    const auto stopped = stopped_;
+    while (!*stopped) {
+        for (const Process& process : processes_) sample(process);
+        co_await pause(io_, kSampleEveryMs);
+    }
+}
+
+void MeshUnderTest::sample(const Process& process) {
+    if (process.machine.program != "cobaltshift-proxy") return;
+    const pid_t pid = process.child->pid();
+    Peak& peak = peaks_[process.machine.name];
+    const double now_mb = status_mb(pid, "VmRSS") + unread_mb(process.machine.ip);
+    peak.memory_mb = std::max({peak.memory_mb, now_mb, status_mb(pid, "VmHWM")});
+    peak.descriptors = std::max(peak.descriptors, open_descriptors(pid));
+}
+
+bool MeshUnderTest::all_alive() {
+    bool alive = true;
+    for (Process& process : processes_)
+        if (process.child->pid() <= 0 || process.child->ended()) alive = false;
+    return alive;
+}
+
+}  // namespace cobaltshift::process_tests
--- /dev/null
+++ b/tests/processes/mesh_under_test.hpp
@@ -0,0 +1,79 @@
+// A small mesh of the project's own processes: a control node and two proxies with narrow limits on memory
+// and descriptors. Clients call the first proxy; the server is beside the second one, so that each request
+// passes both.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "lab/child.hpp"
+#include "lab/mesh_machine.hpp"
+#include "lab/soak_io.hpp"
+#include "lab/soak_ledger.hpp"
+#include "lab/soak_operator.hpp"
+#include "lab/soak_server.hpp"
+
+namespace cobaltshift::process_tests {
+
+using asio::awaitable;
+
+// The limits of each proxy, which are also the bounds of the tests.
+constexpr std::size_t kMemoryMb = 48, kFileLimit = 800;
+
+// The most that one process has held.
+struct Peak {
+    double memory_mb = 0;  // resident, and received by the kernel but not read by the process
+    std::size_t descriptors = 0;
+};
+
+class MeshUnderTest {
+public:
+    // `answer_bytes`: of the server's answers.
+    MeshUnderTest(asio::io_context& io, std::size_t answer_bytes);
+    ~MeshUnderTest() { *stopped_ = true; }
+
+    // Starts a server and waits until an ordinary request is served; false: that took too long.
+    awaitable<bool> start_server();
+    // Brings the configuration; a server is the caller's.
+    awaitable<void> configure() { return operator_.change_once(); }
+    // SIGKILL and a new process, as after a loss of power. Returns once it is ready; false: that took too
+    // long.
+    awaitable<bool> restart_server_proxy();
+    // A call to the API of the proxy beside the server; its status, 0: no answer.
+    awaitable<unsigned> call_server_proxy(http::verb method, std::string target, std::string body);
+    // Sends one ordinary request; its status, 0: no answer.
+    awaitable<unsigned> request_once();
+    // Whether one ordinary request gets its answer; asked again until then, for a minute at most.
+    awaitable<bool> serves_ordinary_request();
+    // Samples what the proxies hold until the mesh goes.
+    awaitable<void> watch();
+
+    tcp::endpoint outbound() const;  // of the proxy beside the clients
+    tcp::endpoint inbound() const;   // of the proxy beside the server
+    tcp::endpoint server() const;    // where the application server listens
+    bool all_alive();
+    const std::map<std::string, Peak>& peaks() const { return peaks_; }
+
+private:
+    struct Process {
+        lab::MeshMachine machine;
+        std::unique_ptr<lab::Child> child;
+    };
+    void start(const lab::MeshMachine& machine);
+    std::unique_ptr<lab::Child> new_process(const lab::MeshMachine& machine, bool first_boot);
+    void sample(const Process& process);
+
+    asio::io_context& io_;
+    const lab::Folder folder_;
+    const lab::MeshNetworks networks_;
+    const std::size_t answer_bytes_;
+    lab::SoakLedger ledger_;
+    kelplb::Random random_{1};
+    lab::SoakOperator operator_;
+    std::vector<Process> processes_;
+    std::map<std::string, Peak> peaks_;
+    std::shared_ptr<bool> stopped_ = std::make_shared<bool>(false);
+};
+
+}  // namespace cobaltshift::process_tests
