Memory: one account of what a process holds for its clients, with a limit

Cause: the listener reserved memory for a body once, before reading it. A chunked body reserved 64 KiB, whatever it grew to. Answers, heads and input that nobody has read were counted nowhere, each listener had a bound of its own, and a request was held twice while it was written to its server.

Over that, the connection whose bytes times age are highest is released in the next turn: a 503 if its request is still read, else it is closed; answers that still come from a server go last.

--- a/src/exchange/connection_pool.hpp
+++ b/src/exchange/connection_pool.hpp
@@ -254,6 +254,11 @@
     std::size_t open() const { return open_; }
     std::size_t out() const { return attempts_.size(); }
     std::size_t groups() const { return groups_.size(); }
+    // Visits the connections of all attempts that have not ended.
+    template <class Visit>
+    void for_each_attempt(Visit visit) const {
+        for (const auto& [key, connection] : attempts_) visit(connection);
+    }
     const Irregularities& irregularities() const { return irregularities_; }
 
 private:
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -21,6 +21,13 @@
 constexpr std::size_t kReadBytes = 4096, kMaxPipelinedBytes = kMaxHeader;
 // Unread data in the kernel counts towards the process's memory, and a fast sender fills that buffer.
 constexpr int kReceiveBufferBytes = 64 * 1024;
+// Charged for a connection: its objects here, and input that has just arrived.
+constexpr std::size_t kConnectionBytes = 8 * 1024;
+// A parsed head is charged as often as its bytes are held: in the input, as fields, and for the fields'
+// index.
+constexpr std::size_t kHeadCopies = 3;
+// A body of up to this many bytes is read even if there is no room left: others make room for it.
+constexpr std::size_t kShortBodyBytes = 64 * 1024;
 
 http::status status_for(error_code ec) {
     if (ec == http::error::body_limit) return http::status::payload_too_large;
@@ -28,6 +35,18 @@
     return http::status::bad_request;
 }
 
+// A request with the charge for its body, which is held until nobody needs the request any more.
+struct ChargedRequest {
+    HttpRequest message;
+    MemoryAccount::Charge charge;
+};
+RequestPtr with_charge(HttpRequest message, MemoryAccount* memory) {
+    const auto request =
+        std::make_shared<ChargedRequest>(ChargedRequest{std::move(message), MemoryAccount::Charge(memory)});
+    request->charge.set(request->message.body().size());
+    return {request, &request->message};
+}
+
 }  // namespace
 
 // One client connection: it repeats idle, reading a request, waiting for its answer and writing the answer
@@ -37,8 +56,12 @@
     enum class State { idle, reading, waiting, writing, lingering, closed };
 
     Session(Listener& owner, tcp::socket socket)
-        : owner_(owner), socket_(std::move(socket)), state_since_(owner.clock_.now()) {
+        : owner_(owner),
+          socket_(std::move(socket)),
+          charge_(owner.memory_),
+          state_since_(owner.clock_.now()) {
         owner_.adjust_count(usage_, 1);
+        charge_.set(kConnectionBytes);
     }
 
     State state() const { return state_; }
@@ -75,6 +98,20 @@
         return kNotEvictable;
     }
 
+    // What keeping this connection costs (see MemoryAccount), if it can be released: its client has yet to
+    // send or to read something.
+    std::optional<double> memory_cost(Millis now) const {
+        const bool client_is_due = state_ == State::reading || state_ == State::writing ||
+                                   state_ == State::lingering || leaves_input_unread_;
+        if (!client_is_due || state_ == State::closed) return {};
+        return static_cast<double>(charge_.bytes()) * (now - busy_since_ + 1);
+    }
+    void release_memory() {
+        if (state_ == State::reading) return reject(http::status::service_unavailable);
+        if (state_ == State::writing) log_answer_cut();
+        close();
+    }
+
     void start() {
         error_code ec;
         socket_.set_option(tcp::no_delay(true), ec);
@@ -100,6 +137,7 @@
         error_code ignored;
         socket_.close(ignored);
         release_request();
+        charge_.set(0);
         if (before == State::waiting) owner_.front_.client_gone(id_);
         owner_.closed(*this);
     }
@@ -119,6 +157,7 @@
 private:
     void set_state(State state) {
         state_ = state;
+        busy_since_ = owner_.clock_.now();
         owner_.adjust_count(usage_, std::size_t(-1));
         usage_ = state == State::lingering || state == State::closed ? Usage::none
                  : is_new_                                           ? Usage::unused
@@ -127,6 +166,19 @@
         owner_.adjust_count(usage_, 1);
     }
 
+    // Whether the client may fill the kernel's buffer faster than it is read here.
+    bool may_have_unread_input() const {
+        return leaves_input_unread_ || state_ == State::reading || state_ == State::lingering;
+    }
+    // Brings the charge up to date with what is held for this connection.
+    void charge_held() {
+        std::size_t bytes = kConnectionBytes + input_.capacity() + answer_bytes_;
+        if (parser_)
+            bytes += kHeadCopies * head_bytes_ + std::max(reserved_body_bytes_, parser_->get().body().size());
+        if (may_have_unread_input()) bytes += kReceiveBufferBytes;
+        charge_.set(bytes);
+    }
+
     void become_idle() {
         set_state(State::idle);
         state_since_ = owner_.clock_.now();
@@ -137,6 +189,7 @@
         if (input_.size() > 0) return begin_request();
         if (input_.capacity() > kReadBytes) input_.shrink_to_fit();
         receive();
+        charge_held();
         owner_.accept();  // a waiting connection may now be accepted
     }
 
@@ -145,6 +198,7 @@
     void receive() {
         if (receiving_ || state_ == State::closed) return;
         receiving_ = true;
+        leaves_input_unread_ = false;
         socket_.async_read_some(
             asio::buffer(read_buffer_), [this, self = shared_from_this()](error_code ec, std::size_t n) {
                 receiving_ = false;
@@ -176,7 +230,11 @@
         if (state_ == State::idle) return begin_request();
         if (state_ == State::reading) return parse();
         // A pipelined request; it is parsed after the answer. Reads go on, to detect a disconnect.
-        if (state_ == State::waiting && input_.size() < kMaxPipelinedBytes) receive();
+        if (state_ == State::waiting && input_.size() < kMaxPipelinedBytes)
+            receive();
+        else
+            leaves_input_unread_ = true;
+        charge_held();
     }
 
     void begin_request() {
@@ -197,7 +255,10 @@
     void parse() {
         while (!parser_->is_done()) {
             const error_code ec = parse_received(*parser_, input_, head_bytes_, bounds_.header);
-            if (ec == http::error::need_more) return receive();
+            if (ec == http::error::need_more) {
+                charge_held();
+                return receive();
+            }
             if (ec) return reject(status_for(ec));
             if (parser_->is_header_done() && !head_seen_) {
                 head_seen_ = true;
@@ -220,7 +281,7 @@
             write(rejection(*fault), keep_);
             return false;
         }
-        if (owner_.body_bytes_ + length > owner_.limits_.body_bytes) {
+        if (!owner_.has_room_for_body(length)) {
             reject(http::status::service_unavailable);
             return false;
         }
@@ -231,7 +292,7 @@
 
     void dispatch() {
         const bool chunked = parser_->chunked();
-        auto request = std::make_shared<HttpRequest>(parser_->release());
+        const RequestPtr request = with_charge(parser_->release(), owner_.memory_);
         parser_.reset();
         keep_ = request->keep_alive();
         is_new_ = false;
@@ -245,9 +306,13 @@
         open_name_ = std::move(name);
         set_state(State::waiting);
         deadline_ = 0;
-        id_ =
-            owner_.front_.arrived(std::move(request), owner_.clock_.now() - request_began_, weak_from_this());
-        if (input_.size() < kMaxPipelinedBytes) receive();
+        id_ = owner_.front_.arrived(request, owner_.clock_.now() - request_began_, weak_from_this());
+        if (state_ != State::waiting) return;
+        if (input_.size() < kMaxPipelinedBytes)
+            receive();
+        else
+            leaves_input_unread_ = true;
+        charge_held();
     }
 
     void release_request() {
@@ -297,6 +362,8 @@
         keep = keep && !owner_.draining_ && !owner_.near_limit();
         response_.keep_alive(keep);
         response_.prepare_payload();
+        answer_bytes_ = response_.body().size();
+        charge_held();
         if (owner_.link_ && write_paced(keep, urgent_at)) return;
         http::async_write(
             socket_, response_,
@@ -305,6 +372,7 @@
     void written(error_code ec, bool keep) {
         if (state_ != State::writing) return;
         response_ = {};
+        answer_bytes_ = 0;
         paced_write_ = 0;
         if (ec || client_gone_) return close();
         if (keep) return become_idle();
@@ -318,11 +386,10 @@
         }
         std::ostringstream head;
         head << response_.base();
-        std::string bytes = std::move(head).str();
-        bytes += response_.body();
+        PacedLink::Message message{std::move(head).str(), std::move(response_.body())};
         response_ = {};
         paced_write_ = owner_.link_->write(
-            socket_, std::move(bytes), urgent_at,
+            socket_, std::move(message), urgent_at,
             [this, self = shared_from_this(), keep](error_code ec) { written(ec, keep); });
         return true;
     }
@@ -336,11 +403,14 @@
         error_code ec;
         socket_.shutdown(tcp::socket::shutdown_send, ec);
         input_.clear();
+        input_.shrink_to_fit();
         receive();
+        charge_held();
     }
 
     Listener& owner_;
     tcp::socket socket_;
+    MemoryAccount::Charge charge_;
     State state_ = State::idle;
     Usage usage_ = Usage::unused;
     bool receiving_ = false;
@@ -348,6 +418,7 @@
     bool client_gone_ = false;  // the client disconnected while its answer was written
     bool head_seen_ = false;
     bool keep_ = true;
+    bool leaves_input_unread_ = false;  // the kernel may hold more input, up to its buffer's size
     std::array<char, kReadBytes> read_buffer_;
     beast::flat_buffer input_;
     std::optional<http::request_parser<http::string_body>> parser_;
@@ -357,22 +428,30 @@
     std::string open_name_;  // id of the request that awaits its answer
     std::string log_name_;   // of that request or of the one being answered
     std::size_t head_bytes_ = 0, reserved_body_bytes_ = 0, discarded_ = 0;
-    Front::Bounds bounds_;      // for the current request
-    Millis state_since_ = 0;    // start of the state idle or lingering
-    Millis request_began_ = 0;  // start of the current request
-    Millis deadline_ = 0;       // time of the timeout; 0: none
+    std::size_t answer_bytes_ = 0;  // of the answer that is held here or by the link, until it is written
+    Front::Bounds bounds_;          // for the current request
+    Millis state_since_ = 0;        // start of the state idle or lingering
+    Millis busy_since_ = 0;         // start of the current state, whichever it is
+    Millis request_began_ = 0;      // start of the current request
+    Millis deadline_ = 0;           // time of the timeout; 0: none
 };
 
-Listener::Listener(asio::io_context& io, const Clock& clock, Front& front, Limits limits, PacedLink* link)
+Listener::Listener(asio::io_context& io, const Clock& clock, Front& front, Limits limits, PacedLink* link,
+                   MemoryAccount* memory)
     : io_(io),
       clock_(clock),
       front_(front),
       limits_(limits),
       link_(link),
+      memory_(memory),
       acceptor_(io),
       accept_retry_timer_(io),
-      sweep_timer_(io) {}
-Listener::~Listener() = default;
+      sweep_timer_(io) {
+    if (memory_) memory_->add(*this);
+}
+Listener::~Listener() {
+    if (memory_) memory_->remove(*this);
+}
 
 void Listener::listen(const tcp::endpoint& at) {
     acceptor_.open(at.protocol());
@@ -436,6 +515,32 @@
     return evict([](Usage) { return true; });
 }
 
+bool Listener::has_room_for_body(std::size_t bytes) const {
+    if (body_bytes_ + bytes > limits_.body_bytes) return false;
+    return !memory_ || bytes <= kShortBodyBytes || memory_->has_room(bytes);
+}
+
+std::shared_ptr<Listener::Session> Listener::costliest_session(Millis now) const {
+    std::shared_ptr<Session> costliest;
+    double highest = 0;
+    for (const auto& session : sessions_) {
+        const auto cost = session->memory_cost(now);
+        if (!cost || (costliest && *cost <= highest)) continue;
+        costliest = session;
+        highest = *cost;
+    }
+    return costliest;
+}
+
+std::optional<double> Listener::highest_cost(Millis now) const {
+    const auto session = costliest_session(now);
+    return session ? session->memory_cost(now) : std::nullopt;
+}
+
+void Listener::release_costliest(Millis now) {
+    if (const auto session = costliest_session(now)) session->release_memory();
+}
+
 void Listener::add_session(tcp::socket socket) {
     auto session = std::make_shared<Session>(*this, std::move(socket));
     session->place = sessions_.insert(sessions_.end(), session);
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -1,5 +1,6 @@
 // Accepts client connections, reads requests, passes them to a Front and writes the answers. Bounds the
-// number of connections, the memory for bodies and the time for each phase. Entry type: Listener. Not
+// number of connections, the memory for bodies and the time for each phase. If its process holds too much
+// memory, it closes the connections of clients that send or read slowly. Entry type: Listener. Not
 // thread-safe: runs on the io_context's thread.
 #pragma once
 
@@ -14,24 +15,26 @@
 
 #include "net/clock.hpp"
 #include "net/front.hpp"
+#include "net/memory_account.hpp"
 #include "net/paced_link.hpp"
 
 namespace cobaltshift {
 
-class Listener {
+class Listener : private MemoryAccount::Holder {
 public:
     struct Limits {
         std::size_t connections = 400;
-        std::size_t clients_hold = 300;     // the clients' own limit on the connections for requests
-        std::size_t body_bytes = 16 << 20;  // of all pending requests together
+        std::size_t clients_hold = 300;  // the clients' own limit on the connections for requests
+        // Of the bodies of all pending requests together, beside what the memory account allows.
+        std::size_t body_bytes = 16 << 20;
         // ms that an answer, or one piece of a paced answer, may wait for the client to read it.
         Millis write_time = 5000;
     };
     // `link`: paces long answers over a shared link; null: each answer is written as fast as its client
-    // reads.
-    Listener(asio::io_context& io, const Clock& clock, Front& front, Limits limits,
-             PacedLink* link = nullptr);
-    ~Listener();
+    // reads. `memory`: of the process; null: what is held is not counted.
+    Listener(asio::io_context& io, const Clock& clock, Front& front, Limits limits, PacedLink* link = nullptr,
+             MemoryAccount* memory = nullptr);
+    ~Listener() override;
 
     void listen(const tcp::endpoint& at);  // throws if it can't bind
     tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
@@ -76,6 +79,10 @@
     void add_session(tcp::socket socket);
     void closed(Session& session);
     void sweep();
+    bool has_room_for_body(std::size_t bytes) const;
+    std::shared_ptr<Session> costliest_session(Millis now) const;
+    std::optional<double> highest_cost(Millis now) const override;
+    void release_costliest(Millis now) override;
     std::size_t count(Usage usage) const { return counts_[static_cast<std::size_t>(usage)]; }
     // Clients hold a limited number of connections, and a request for which a client finds no free one never
     // arrives here. Therefore kept-alive connections may take at most half of the places that open requests
@@ -96,6 +103,7 @@
     Front& front_;
     Limits limits_;
     PacedLink* const link_;
+    MemoryAccount* const memory_;
     tcp::acceptor acceptor_;
     asio::steady_timer accept_retry_timer_, sweep_timer_;
     Sessions sessions_;                                 // least recently active first
--- /dev/null
+++ b/src/net/memory_account.hpp
@@ -0,0 +1,105 @@
+// Account of the memory that a process holds for its clients and peers: heads, bodies and answers, input not
+// yet handled, and the connections themselves. One account serves all listeners and connection pools of a
+// process, so that its limit bounds their sum. Entry type: MemoryAccount. Used by Listener and Upstream.
+//
+// Each owner keeps a Charge up to date. A charge is never refused, as the bytes are already there; if the
+// account is over its limit, holders release the charges with the highest costs in the next turn of the event
+// loop, until it is not. A charge's cost is its bytes times its age: clients that send or read slowly are
+// released before those that hold much for a moment.
+//
+// Not thread-safe: runs on the io_context's thread. Holders must not outlive their account; charges may, as
+// handlers that never ran are destroyed with the io_context.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "net/clock.hpp"
+#include "net/http.hpp"
+
+namespace cobaltshift {
+
+class MemoryAccount {
+public:
+    // A party whose charges can be released.
+    class Holder {
+    public:
+        virtual ~Holder() = default;
+        // The highest cost among the charges that this holder can release, in bytes times milliseconds; none
+        // if it can release nothing.
+        virtual std::optional<double> highest_cost(Millis now) const = 0;
+        // Releases the charge with that cost.
+        virtual void release_costliest(Millis now) = 0;
+    };
+
+    class Charge;
+
+    // `limit`: bytes.
+    MemoryAccount(asio::io_context& io, const Clock& clock, std::size_t limit);
+    ~MemoryAccount() { sum_->account = nullptr; }
+    MemoryAccount(const MemoryAccount&) = delete;
+    MemoryAccount& operator=(const MemoryAccount&) = delete;
+
+    void add(Holder& holder) { holders_.push_back(&holder); }
+    void remove(const Holder& holder) { std::erase(holders_, &holder); }
+    // Whether so many bytes more would keep within the limit.
+    bool has_room(std::size_t bytes) const { return sum_->held + bytes <= limit_; }
+
+    std::size_t limit() const { return limit_; }
+    std::size_t held() const { return sum_->held; }
+    std::uint64_t released() const { return released_; }  // charges that were released, since the start
+
+private:
+    // Shared with the charges.
+    struct Sum {
+        std::size_t held = 0;
+        MemoryAccount* account;  // null: it is gone
+    };
+    void on_increase() {
+        if (sum_->held > limit_ && !release_scheduled_) schedule_release();
+    }
+    void schedule_release();
+    void release();
+
+    asio::io_context& io_;
+    const Clock& clock_;
+    const std::size_t limit_;
+    const std::shared_ptr<Sum> sum_;
+    std::uint64_t released_ = 0;
+    bool release_scheduled_ = false;
+    std::vector<Holder*> holders_;
+};
+
+// Bytes held by one owner, until they are set anew or the owner goes. Without an account: not counted.
+class MemoryAccount::Charge {
+public:
+    explicit Charge(MemoryAccount* account = nullptr) : sum_(account ? account->sum_ : nullptr) {}
+    Charge(Charge&& other) noexcept : sum_(std::move(other.sum_)), bytes_(std::exchange(other.bytes_, 0)) {}
+    Charge& operator=(Charge&&) = delete;
+    ~Charge() { set(0); }
+
+    void set(std::size_t bytes) {
+        const std::size_t before = std::exchange(bytes_, bytes);
+        if (!sum_) return;
+        sum_->held += bytes - before;
+        if (bytes > before && sum_->account) sum_->account->on_increase();
+    }
+    std::size_t bytes() const { return bytes_; }
+
+private:
+    std::shared_ptr<Sum> sum_;
+    std::size_t bytes_ = 0;
+};
+
+// The share of a process's memory that its account may hold. The rest is for the program itself, for what the
+// allocator can't reuse, and for a buffer that is copied while it grows.
+std::size_t memory_for_clients(std::size_t memory_mb);
+
+// Makes the allocator return large blocks to the system as soon as they are freed. Without it, freed bodies
+// and answers stay resident below blocks that are still in use. Called once, before any other thread starts.
+void return_freed_memory();
+
+}  // namespace cobaltshift
--- a/src/net/paced_link.cpp
+++ b/src/net/paced_link.cpp
@@ -29,10 +29,17 @@
 
 PacedLink::~PacedLink() { *alive_ = false; }
 
-PacedLink::WriteId PacedLink::write(tcp::socket& socket, std::string bytes, Millis urgent_at,
+std::array<asio::const_buffer, 2> PacedLink::Message::part(std::size_t start, std::size_t bytes) const {
+    const asio::const_buffer in_head = asio::buffer(asio::buffer(head) + start, bytes);
+    const std::size_t body_start = start > head.size() ? start - head.size() : 0;
+    return {in_head, asio::buffer(asio::buffer(body) + body_start, bytes - in_head.size())};
+}
+
+PacedLink::WriteId PacedLink::write(tcp::socket& socket, Message message, Millis urgent_at,
                                     std::function<void(error_code)> done) {
-    const WriteId id = scheduler_.add(bytes.size(), urgent_at);
-    writes_[id] = {&socket, std::move(bytes), clock_.now(), {}, 0, std::move(done)};
+    const WriteId id = scheduler_.add(message.size(), urgent_at);
+    auto shared = std::make_shared<const Message>(std::move(message));
+    writes_[id] = {&socket, std::move(shared), clock_.now(), {}, 0, std::move(done)};
     asio::post(io_, [this, alive = alive_] {
         if (*alive) write_granted();
     });
@@ -51,7 +58,7 @@
 
 std::size_t PacedLink::unsent_bytes(WriteId id) const {
     const auto at = writes_.find(id);
-    return at == writes_.end() ? 0 : at->second.bytes.size() - at->second.written_bytes;
+    return at == writes_.end() ? 0 : at->second.message->size() - at->second.written_bytes;
 }
 
 std::optional<Millis> PacedLink::piece_pending_since(WriteId id) const {
@@ -64,21 +71,19 @@
     ++wait_stats_.answers;
     if (waited <= wait_stats_.longest) return;
     wait_stats_.longest = waited;
-    wait_stats_.longest_bytes = write.bytes.size();
+    wait_stats_.longest_bytes = write.message->size();
 }
 
 void PacedLink::write_granted() {
     while (const auto grant = scheduler_.next(clock_.now())) {
         PendingWrite& write = writes_.at(grant->id);
         write.piece_started_at = clock_.now();
-        const auto source = asio::buffer(write.bytes.data() + write.written_bytes, grant->bytes);
-        // The operation owns a copy of the bytes: the write may be cancelled before the operation completes.
-        auto owned = std::make_shared<std::string>(static_cast<const char*>(source.data()), source.size());
-        const auto buffer = asio::buffer(*owned);
-        asio::async_write(*write.socket, buffer,
-                          [this, alive = alive_, id = grant->id, owned](error_code ec, std::size_t n) {
-                              if (*alive) on_piece_written(id, ec, n);
-                          });
+        // The operation shares the message: the write may be cancelled before the operation completes.
+        asio::async_write(
+            *write.socket, write.message->part(write.written_bytes, grant->bytes),
+            [this, alive = alive_, id = grant->id, message = write.message](error_code ec, std::size_t n) {
+                if (*alive) on_piece_written(id, ec, n);
+            });
     }
     const auto due = scheduler_.due();
     if (!due || *due == timer_due_) return;
--- a/src/net/paced_link.hpp
+++ b/src/net/paced_link.hpp
@@ -4,6 +4,7 @@
 // every answer directly. Not thread-safe: runs on the io_context's thread.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -25,15 +26,23 @@
     PacedLink(const PacedLink&) = delete;
     PacedLink& operator=(const PacedLink&) = delete;
 
+    // A message as it goes over the wire.
+    struct Message {
+        std::string head, body;
+        std::size_t size() const { return head.size() + body.size(); }
+        // The part of `bytes` bytes from `start` on.
+        std::array<asio::const_buffer, 2> part(std::size_t start, std::size_t bytes) const;
+    };
+
     bool is_long(std::size_t bytes) const { return scheduler_.is_long(bytes); }
     std::size_t long_answer_bytes() const { return scheduler_.long_answer_bytes(); }
     // Accounts for a short answer that the caller writes itself.
     void record_sent(std::size_t bytes) { scheduler_.record_sent(clock_.now(), bytes); }
-    // Queues `bytes` for `socket`; the write becomes urgent at `urgent_at`. `done` is called once the kernel
-    // has accepted all bytes, or with the error that ended the write; never after cancel(). `socket` must
-    // live until then.
+    // Queues `message` for `socket`; the write becomes urgent at `urgent_at`. `done` is called once the
+    // kernel has accepted all bytes, or with the error that ended the write; never after cancel(). `socket`
+    // must live until then.
     using WriteId = SendScheduler::Id;
-    WriteId write(tcp::socket& socket, std::string bytes, Millis urgent_at,
+    WriteId write(tcp::socket& socket, Message message, Millis urgent_at,
                   std::function<void(error_code)> done);
     void cancel(WriteId id);
     // Ends pacing: hands everything queued now or later to the kernel at once. Called before the process
@@ -61,7 +70,7 @@
 private:
     struct PendingWrite {
         tcp::socket* socket;
-        std::string bytes;
+        std::shared_ptr<const Message> message;  // shared with the operation that writes a piece
         Millis queued_at = 0;
         std::optional<Millis> piece_started_at;  // while the kernel has not accepted the piece granted last
         std::size_t written_bytes = 0;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -12,15 +12,16 @@
 
 namespace cobaltshift {
 
-Sidecar::Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits)
-    : Sidecar(io, clock, config, limits, std::make_unique<PlatformDialect>(config), nullptr) {}
+Sidecar::Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits,
+                 MemoryAccount* memory)
+    : Sidecar(io, clock, config, limits, std::make_unique<PlatformDialect>(config), nullptr, memory) {}
 
 Sidecar::Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits,
-                 Dialect& dialect)
-    : Sidecar(io, clock, config, limits, nullptr, &dialect) {}
+                 Dialect& dialect, MemoryAccount* memory)
+    : Sidecar(io, clock, config, limits, nullptr, &dialect, memory) {}
 
 Sidecar::Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits,
-                 std::unique_ptr<Dialect> own, Dialect* other)
+                 std::unique_ptr<Dialect> own, Dialect* other, MemoryAccount* memory)
     : io_(io),
       clock_(clock),
       config_(config),
@@ -34,7 +35,7 @@
                  [this](ServerId id, Outcome outcome, Millis duration) {
                      caller_.probe_ended(id, outcome, duration);
                  }},
-                dialect_.upstream_protocol()),
+                dialect_.upstream_protocol(), memory),
       timer_(io) {}
 
 Sidecar::~Sidecar() = default;
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -43,10 +43,11 @@
     std::vector<ServerId> removed() const { return caller_.balancer().removed(); }
     void limit_connections(std::size_t most) { upstream_.limit_connections(most); }
 
-    Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits);
-    // With another protocol than the platform's; `dialect` must outlive the Sidecar.
     Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits,
-            Dialect& dialect);
+            MemoryAccount* memory = nullptr);
+    // With another protocol than the platform's; `dialect` must outlive the Sidecar. `memory`: see Upstream.
+    Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits,
+            Dialect& dialect, MemoryAccount* memory = nullptr);
     ~Sidecar();
     void connect_to(Discovery& discovery, Peers* peers);
     void start();  // applies the saved list from the configuration, if there is one
@@ -76,7 +77,7 @@
 
 private:
     Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits,
-            std::unique_ptr<Dialect> own, Dialect* other);
+            std::unique_ptr<Dialect> own, Dialect* other, MemoryAccount* memory);
 
     // The operations that caller::Caller requires; see caller/caller.hpp.
     friend class caller::Caller<Sidecar>;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -17,6 +17,7 @@
 // Unread data in the kernel counts towards the process's memory, and an endless answer fills that buffer at
 // once.
 constexpr int kReceiveBufferBytes = 64 * 1024;
+constexpr std::size_t kConnectionBytes = 8 * 1024;  // charged for a connection and input that has just come
 
 // The timeout in the server's Keep-Alive header (RFC 2068 19.7.1), in ms; 0: none given.
 Millis keep_alive_timeout_ms(const HttpResponse& response) {
@@ -57,15 +58,20 @@
 }
 
 Upstream::Upstream(asio::io_context& io, const Clock& clock, Limits limits, Handlers handlers,
-                   UpstreamProtocol upstream_protocol)
+                   UpstreamProtocol upstream_protocol, MemoryAccount* memory)
     : io_(io),
       clock_(clock),
       dead_peer_timeout_(limits.dead_peer_timeout),
       handlers_(std::move(handlers)),
       protocol_(std::move(upstream_protocol)),
-      pool_(*this, limits) {}
+      memory_(memory),
+      pool_(*this, limits) {
+    if (memory_) memory_->add(*this);
+}
 
-Upstream::~Upstream() = default;
+Upstream::~Upstream() {
+    if (memory_) memory_->remove(*this);
+}
 
 // ---- Public interface -------------------------------------------------------------------------------------
 
@@ -116,36 +122,47 @@
     Channel& channel = connection->channel;
     HttpRequest& message = *job.request;
     if (!job.probe) protocol_.prepare_request(message, std::max(0.0, job.until - clock_.now()));
-    channel.output.clear();
     channel.output_written = 0;
+    channel.output_message = job.request;
+    channel.output_head.clear();
     http::request_serializer<http::string_body> serializer(message);
+    serializer.split(true);
     error_code serialize_error;
-    while (!serialize_error && !serializer.is_done())
+    while (!serialize_error && !serializer.is_header_done())
         serializer.next(serialize_error, [&](error_code&, const auto& buffers) {
             for (auto at = asio::buffer_sequence_begin(buffers); at != asio::buffer_sequence_end(buffers);
                  ++at) {
                 const asio::const_buffer part = *at;
-                channel.output.append(static_cast<const char*>(part.data()), part.size());
+                channel.output_head.append(static_cast<const char*>(part.data()), part.size());
             }
             serializer.consume(asio::buffer_size(buffers));
         });
     // Written synchronously first: nearly every request fits into the send buffer, and the number of bytes
     // sent is known at once.
     error_code ec;
-    const std::size_t bytes = channel.socket.write_some(asio::buffer(channel.output), ec);
+    const std::size_t bytes = channel.socket.write_some(channel.unwritten(), ec);
     if (ec == asio::error::would_block || ec == asio::error::try_again) ec = {};
     wrote(connection, ec, bytes);
 }
 
+std::array<asio::const_buffer, 2> Upstream::Channel::unwritten() const {
+    const std::string& body = output_message->body();
+    const std::size_t body_written =
+        output_written > output_head.size() ? output_written - output_head.size() : 0;
+    return {asio::buffer(output_head) + output_written, asio::buffer(body) + body_written};
+}
+
 void Upstream::wrote(const ConnectionPtr& connection, error_code ec, std::size_t bytes) {
     Channel& channel = connection->channel;
     channel.output_written += bytes;
     if (ec) return pool_.write_failed(connection, channel.output_written > 0);
-    if (channel.output_written == channel.output.size()) return pool_.written(connection);
-    const auto remaining = asio::buffer(channel.output) + channel.output_written;
-    channel.socket.async_write_some(remaining, [this, connection](error_code error, std::size_t n) {
-        if (connection->state == exchange::ConnectionState::writing) wrote(connection, error, n);
-    });
+    const auto unwritten = channel.unwritten();
+    if (asio::buffer_size(unwritten) == 0) return pool_.written(connection);
+    // The operation keeps the message: the attempt may end before the operation does.
+    channel.socket.async_write_some(
+        unwritten, [this, connection, message = channel.output_message](error_code error, std::size_t n) {
+            if (connection->state == exchange::ConnectionState::writing) wrote(connection, error, n);
+        });
 }
 
 void Upstream::read(const ConnectionPtr& connection) {
@@ -155,14 +172,51 @@
     channel.parser->body_limit(protocol_.body_bytes);
     channel.parser->eager(false);
     channel.head_bytes = 0;
+    channel.output_message.reset();
     parse(connection);
 }
 
+void Upstream::charge_held(Channel& channel) {
+    std::size_t bytes = kConnectionBytes + channel.input.capacity();
+    // While an answer arrives, the kernel may hold more of it.
+    if (channel.parser) bytes += channel.parser->get().body().size() + kReceiveBufferBytes;
+    channel.charge.set(bytes);
+}
+
+// The answer whose request was sent last: dropping older ones, which are nearer to their end, would let none
+// of many get there.
+Upstream::ConnectionPtr Upstream::newest_answer() const {
+    ConnectionPtr newest;
+    pool_.for_each_attempt([&](const ConnectionPtr& connection) {
+        if (connection->state != exchange::ConnectionState::reading) return;
+        if (!connection->channel.parser->is_header_done()) return;
+        if (!newest || connection->job->sent_at > newest->job->sent_at) newest = connection;
+    });
+    return newest;
+}
+
+// Servers send as fast as they are read, so that an answer's age costs nothing: clients that are slow go
+// first.
+std::optional<double> Upstream::highest_cost(Millis) const {
+    const ConnectionPtr newest = newest_answer();
+    return newest ? std::optional(static_cast<double>(newest->channel.charge.bytes())) : std::nullopt;
+}
+
+void Upstream::release_costliest(Millis) {
+    const ConnectionPtr connection = newest_answer();
+    if (!connection) return;
+    log_line("upstream.answer_dropped", "the process holds too much memory: a server's answer is broken off");
+    pool_.broken(connection);
+}
+
 void Upstream::parse(const ConnectionPtr& connection) {
     Channel& channel = connection->channel;
     while (!channel.parser->is_done()) {
         const error_code ec = parse_received(*channel.parser, channel.input, channel.head_bytes);
-        if (ec == http::error::need_more) return receive(connection);
+        if (ec == http::error::need_more) {
+            charge_held(channel);
+            return receive(connection);
+        }
         // An answer delimited by the end of the connection may have been truncated.
         if (ec || channel.parser->need_eof()) return pool_.broken(connection);
     }
@@ -176,6 +230,7 @@
     const exchange::AnswerEnd how{channel.parser->keep_alive(), channel.input.size() > 0};
     HttpResponse response = channel.parser->release();
     channel.parser.reset();
+    charge_held(channel);
     pool_.answered(connection, std::move(response), how);
 }
 
@@ -213,7 +268,7 @@
 
 void Upstream::watch_idle(const ConnectionPtr& connection) {
     Channel& channel = connection->channel;
-    if (channel.output.capacity() > kReadBytes) channel.output = std::string();
+    if (channel.output_head.capacity() > kReadBytes) channel.output_head = std::string();
     channel.interim_responses = 0;
     if (channel.input.capacity() > kReadBytes) channel.input.shrink_to_fit();
     channel.socket.async_wait(tcp::socket::wait_read,
@@ -223,6 +278,7 @@
 void Upstream::close(Connection& connection) {
     error_code ignored;
     connection.channel.socket.close(ignored);
+    connection.channel.charge.set(0);
 }
 
 // ---- Protocol ---------------------------------------------------------------------------------------------
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -3,6 +3,7 @@
 // Upstream. Called by Sidecar and by the proxy's Inbound. Not thread-safe: runs on the io_context's thread.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <list>
 #include <map>
@@ -13,6 +14,7 @@
 #include "exchange/connection_pool.hpp"
 #include "net/clock.hpp"
 #include "net/http.hpp"
+#include "net/memory_account.hpp"
 
 namespace cobaltshift {
 
@@ -38,7 +40,7 @@
 };
 
 // Must not be destroyed while the event loop runs.
-class Upstream {
+class Upstream : private MemoryAccount::Holder {
 public:
     struct Limits : exchange::Limits {
         // A connection breaks if its peer has acknowledged neither data nor keep-alive probes for this many
@@ -51,9 +53,11 @@
         std::function<void(ServerId, Outcome, Millis)> probe_ended;
     };
 
+    // `memory`: of the process; null: what is held is not counted.
     Upstream(asio::io_context& io, const Clock& clock, Limits limits, Handlers handlers,
-             UpstreamProtocol upstream_protocol = UpstreamProtocol::platform());
-    ~Upstream();
+             UpstreamProtocol upstream_protocol = UpstreamProtocol::platform(),
+             MemoryAccount* memory = nullptr);
+    ~Upstream() override;
 
     void send(AttemptKey key, ServerId server, const tcp::endpoint& to, RequestPtr request, Millis until);
     void probe(ServerId server, const tcp::endpoint& to);
@@ -111,6 +115,11 @@
         handlers_.probe_ended(server, outcome, duration);
     }
 
+    void charge_held(Channel& channel);
+    ConnectionPtr newest_answer() const;  // the connection on which it arrives; null: none
+    std::optional<double> highest_cost(Millis now) const override;
+    void release_costliest(Millis now) override;
+
     void wrote(const ConnectionPtr& connection, error_code ec, std::size_t bytes);
     void parse(const ConnectionPtr& connection);
     void receive(const ConnectionPtr& connection);
@@ -120,16 +129,21 @@
     const Millis dead_peer_timeout_;
     Handlers handlers_;
     UpstreamProtocol protocol_;
+    MemoryAccount* const memory_;
     Pool pool_;
 };
 
 // One connection's socket, timer and buffers.
 struct Upstream::Channel {
-    explicit Channel(Upstream& owner) : socket(owner.io_), timer(owner.io_) {}
+    explicit Channel(Upstream& owner) : socket(owner.io_), timer(owner.io_), charge(owner.memory_) {}
+    std::array<asio::const_buffer, 2> unwritten() const;
 
     tcp::socket socket;
     asio::steady_timer timer;  // for connecting, probes and idling; attempts' deadlines are the caller's
-    std::string output;
+    MemoryAccount::Charge charge;
+    // The request that is written: its head, serialized, and the message, whose body is not copied.
+    std::string output_head;
+    RequestPtr output_message;
     std::size_t output_written = 0;
     beast::flat_buffer input;
     std::size_t head_bytes = 0;
--- a/src/programs/control.cpp
+++ b/src/programs/control.cpp
@@ -34,7 +34,8 @@
           distributor_(io, boot_.ip, static_cast<std::uint16_t>(boot_.first_port + 1)),
           control_node_(io, boot_, distributor_),
           front_(kMaxConfigurationBytes),
-          listener_(io, clock_, front_, {kMaxConnections, kMaxConnections, 16 << 20}),
+          memory_(io, clock_, memory_for_clients(boot_.memory_mb)),
+          listener_(io, clock_, front_, {kMaxConnections, kMaxConnections, 16 << 20}, nullptr, &memory_),
           timer_(io) {
         front_.add(control_node_.config());
         distributor_.on_new_configuration = [this](std::shared_ptr<const config::Configuration> t) {
@@ -90,6 +91,7 @@
     config::ConfigDistributor distributor_;
     control::ControlNode control_node_;
     api::ApiFront front_;
+    MemoryAccount memory_;
     Listener listener_;
     asio::steady_timer timer_;
     bool stopping_ = false, failed_ = false;
@@ -122,6 +124,7 @@
         if (absl::GetFlag(FLAGS_check)) return 0;
         set_log_format(LogFormat::numbered);
         std::signal(SIGPIPE, SIG_IGN);
+        return_freed_memory();
         ControlProgram program(io, std::move(settings));
         signals->async_wait([&](error_code ec, int) {
             if (!ec) program.stop([&io] { io.stop(); });
--- a/src/programs/proxy.cpp
+++ b/src/programs/proxy.cpp
@@ -59,6 +59,7 @@
         if (absl::GetFlag(FLAGS_check)) return 0;
         set_log_format(LogFormat::numbered);
         std::signal(SIGPIPE, SIG_IGN);
+        return_freed_memory();
         std::random_device device;
         const std::uint64_t seed = (std::uint64_t{device()} << 32) | device();
         proxy::Proxy node(io, std::move(settings), seed);
--- a/src/proxy/inbound.cpp
+++ b/src/proxy/inbound.cpp
@@ -42,7 +42,7 @@
 }  // namespace
 
 Inbound::Inbound(asio::io_context& io, const Clock& clock, const boot::Boot& boot, Callbacks callbacks,
-                 const PacedLink* link)
+                 const PacedLink* link, MemoryAccount* memory)
     : io_(io),
       clock_(clock),
       boot_(boot),
@@ -55,7 +55,7 @@
                      ended(key.id, outcome, response);
                  },
                  [](ServerId, Outcome, Millis) {}},
-                upstream_protocol()),
+                upstream_protocol(), memory),
       timer_(io) {}
 
 bool Inbound::on_heartbeat(const std::string& instance_id, std::uint32_t capacity, bool closing,
--- a/src/proxy/inbound.hpp
+++ b/src/proxy/inbound.hpp
@@ -25,9 +25,10 @@
         std::function<std::uint64_t()> edition;
         std::function<void(std::uint64_t edition)> on_newer_edition;  // a caller has a newer configuration
     };
-    // `link`: the machine's network link, over which answers leave; null if its rate is unknown.
+    // `link`: the machine's network link, over which answers leave; null if its rate is unknown. `memory`:
+    // see Upstream.
     Inbound(asio::io_context& io, const Clock& clock, const boot::Boot& boot, Callbacks callbacks,
-            const PacedLink* link = nullptr);
+            const PacedLink* link = nullptr, MemoryAccount* memory = nullptr);
 
     // The server's heartbeats and deregistration; see Admission.
     bool on_heartbeat(const std::string& instance_id, std::uint32_t capacity, bool closing,
--- a/src/proxy/outbound.cpp
+++ b/src/proxy/outbound.cpp
@@ -63,7 +63,8 @@
                 services);
         limits.reuse_delay = 0;
         limits.dead_peer_timeout = kDeadAfterMs;
-        sidecar = std::make_unique<Sidecar>(outbound.io_, outbound.clock_, config, limits, dialect);
+        sidecar = std::make_unique<Sidecar>(outbound.io_, outbound.clock_, config, limits, dialect,
+                                            outbound.memory_);
         sidecar->start();
     }
     static MeshDialect::Dependencies dependencies(Outbound& outbound) {
@@ -94,12 +95,13 @@
 };
 
 Outbound::Outbound(asio::io_context& io, const Clock& clock, const boot::Boot& boot, Callbacks callbacks,
-                   std::uint64_t seed)
+                   std::uint64_t seed, MemoryAccount* memory)
     : io_(io),
       clock_(clock),
       boot_(boot),
       callbacks_(std::move(callbacks)),
       seed_(seed),
+      memory_(memory),
       random_(seed),
       early_(clock.now()),
       early_timer_(io),
--- a/src/proxy/outbound.hpp
+++ b/src/proxy/outbound.hpp
@@ -30,8 +30,9 @@
         std::function<void(std::uint32_t ip, std::uint64_t edition)> on_peer_edition;
         std::function<void(std::uint32_t ip)> unreachable;
     };
+    // `memory`: see Upstream.
     Outbound(asio::io_context& io, const Clock& clock, const boot::Boot& boot, Callbacks callbacks,
-             std::uint64_t seed);
+             std::uint64_t seed, MemoryAccount* memory = nullptr);
     ~Outbound() override;
 
     void apply_configuration(std::shared_ptr<const config::Configuration> configuration);
@@ -70,6 +71,7 @@
     const boot::Boot& boot_;
     Callbacks callbacks_;
     std::uint64_t seed_;
+    MemoryAccount* const memory_;
     kelplb::Random random_;
     std::shared_ptr<const config::Configuration> configuration_;
     struct EarlyRequest {
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -51,7 +51,7 @@
 
 Listener::Limits limits(const boot::Boot& boot, double share) {
     const auto descriptors = static_cast<std::size_t>(static_cast<double>(boot.file_limit - 200) * share);
-    return {descriptors, descriptors, (boot.memory_mb << 20) / 4};
+    return {descriptors, descriptors, boot.memory_mb << 20};
 }
 }  // namespace
 
@@ -62,13 +62,14 @@
       distributor_(io, boot_.ip, static_cast<std::uint16_t>(boot_.first_port + 1)),
       confirmation_({}, clock_.now()),
       link_(make_link(io, clock_, boot_)),
+      memory_(io, clock_, memory_for_clients(boot_.memory_mb)),
       inbound_(io, clock_, boot_,
                {[this] { return distributor_.held() ? distributor_.held()->edition : 0; },
                 [this](std::uint64_t edition) {
                     // The sender is not known here, but the control nodes have the edition or know who has.
                     for (const std::uint32_t hub : gossip_.control_nodes()) distributor_.hint(hub, edition);
                 }},
-               link_.get()),
+               link_.get(), &memory_),
       outbound_(
           io, clock_, boot_,
           {[this] { return gossip_.live_proxies(); },
@@ -80,16 +81,16 @@
            },
            [this](std::uint32_t ip, std::uint64_t edition) { distributor_.hint(ip, edition); },
            [this](std::uint32_t ip) { gossip_.unreachable(ip); }},
-          seed),
+          seed, &memory_),
       heartbeat_resource_({[this](const Heartbeat& heartbeat) { on_heartbeat(heartbeat); },
                            [this](const std::string& instance_id) { on_deregistered(instance_id); }}),
       readiness_resource_([this] { return ready(); }),
       control_front_(kMaxCallBytes),
       ready_front_(kMaxCallBytes),
-      outbound_listener_(io, clock_, outbound_, limits(boot_, 0.35), link_.get()),
-      inbound_listener_(io, clock_, inbound_, limits(boot_, 0.25), link_.get()),
-      control_listener_(io, clock_, control_front_, limits(boot_, 0.02)),
-      ready_listener_(io, clock_, ready_front_, limits(boot_, 0.02)),
+      outbound_listener_(io, clock_, outbound_, limits(boot_, 0.35), link_.get(), &memory_),
+      inbound_listener_(io, clock_, inbound_, limits(boot_, 0.25), link_.get(), &memory_),
+      control_listener_(io, clock_, control_front_, limits(boot_, 0.02), nullptr, &memory_),
+      ready_listener_(io, clock_, ready_front_, limits(boot_, 0.02), nullptr, &memory_),
       timer_(io),
       tally_timer_(io),
       confirmation_timer_(io) {
@@ -336,6 +337,8 @@
     all["life"] = inbound_.admission().instance_id();
     all["capacity"] = inbound_.admission().capacity();
     all["closing"] = inbound_.admission().closing();
+    all["memory_held"] = Json::UInt64(memory_.held());
+    all["memory_released"] = Json::UInt64(memory_.released());
     all["working"] = Json::UInt64(inbound_.admission().working());
     all["waiting"] = Json::UInt64(inbound_.admission().waiting());
     const auto nested = [](const std::string& text) {
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -60,6 +60,7 @@
     config::StartupConfirmation::State logged_state_ = config::StartupConfirmation::State::waiting;
     config::Edition in_force_ = 0;
     std::unique_ptr<PacedLink> link_;
+    MemoryAccount memory_;
     Inbound inbound_;
     Outbound outbound_;
     HeartbeatResource heartbeat_resource_;
