Admission: a proxy's end does not make it forget that its server has left

Cause: what tells a late heartbeat from news lived in the process alone. Once restarted, a proxy took the first heartbeat of any instance as the newest. The others hold its former record, but it was looked at for its version only, and where the random incarnation was the higher one they overwrote it unseen. A DELETE of an instance that the process had not heard of was dropped.

A restarted node starts with the lowest incarnation and asks for its former record before it replaces it; heartbeats and the health check wait until it is known, or the table is joined without it. Admission takes its server from there, an ended instance never comes back, and a DELETE counts for unknown instances too. The end of a server is acknowledged 20 ms after its record has left, as the process may be killed right after.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -11,9 +11,29 @@
 constexpr std::size_t kMaxFormerInstances = 16;
 }  // namespace
 
-void Admission::switch_instance(const std::string& instance_id) {
-    if (!instance_id_.empty()) former_instances_.push_back(instance_id_);
+bool Admission::is_former(const std::string& instance_id) const {
+    return std::find(former_instances_.begin(), former_instances_.end(), instance_id) !=
+           former_instances_.end();
+}
+
+void Admission::remember_former(const std::string& instance_id) {
+    if (is_former(instance_id)) return;
+    former_instances_.push_back(instance_id);
     if (former_instances_.size() > kMaxFormerInstances) former_instances_.erase(former_instances_.begin());
+}
+
+void Admission::restore(const std::string& instance_id, std::uint64_t call_seq, bool closing) {
+    if (instance_id.empty() || !instance_id_.empty() || is_former(instance_id)) return;
+    if (closing)
+        remember_former(instance_id);
+    else
+        restored_ = {instance_id, call_seq};
+}
+
+void Admission::switch_instance(const std::string& instance_id) {
+    if (!instance_id_.empty()) remember_former(instance_id_);
+    if (restored_ && restored_->id != instance_id) remember_former(restored_->id);
+    restored_.reset();
     instance_id_ = instance_id;
     deregistered_ = false;
     call_seq_ = 0;
@@ -26,9 +46,9 @@
 
 bool Admission::on_heartbeat(const std::string& instance_id, std::uint32_t capacity, bool closing,
                              std::uint64_t call_seq) {
-    if (std::find(former_instances_.begin(), former_instances_.end(), instance_id) != former_instances_.end())
-        return false;
+    if (is_former(instance_id)) return false;
     if (instance_id == instance_id_ && deregistered_) return false;
+    if (restored_ && restored_->id == instance_id && call_seq <= restored_->call_seq) return false;
     if (instance_id != instance_id_)
         switch_instance(instance_id);
     else if (heartbeat_received_ && call_seq <= call_seq_)
@@ -41,14 +61,16 @@
 }
 
 void Admission::on_healthy(const std::string& instance_id, std::uint32_t capacity) {
-    if (heartbeat_received_ || instance_id.empty()) return;
+    if (heartbeat_received_ || instance_id.empty() || is_former(instance_id)) return;
     if (instance_id != instance_id_) switch_instance(instance_id);
     capacity_ = std::max(1U, capacity);
 }
 
 void Admission::on_deregistered(const std::string& instance_id) {
-    if (instance_id != instance_id_) return;
-    closing_ = deregistered_ = true;
+    if (instance_id == instance_id_)
+        closing_ = deregistered_ = true;
+    else
+        remember_former(instance_id);
 }
 
 Decision Admission::offer(Millis now, const Offer& offer) {
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -13,11 +13,14 @@
 // Invariants:
 //   - working() does not exceed the capacity, except after the capacity was lowered while requests ran;
 //   - a request that was refused or rejected has not started, and its id may be offered again;
-//   - no request starts while the instance is unknown, the server is closing or the proxy is leaving.
+//   - no request starts while the instance is unknown, the server is closing or the proxy is leaving;
+//   - an instance that has deregistered, or was closing before a restart of the proxy, never becomes current
+//     again.
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -78,7 +81,12 @@
     // The server answered a health check, which this proxy sends after its own restart. Ignored once a
     // heartbeat has been received, as heartbeats are more precise.
     void on_healthy(const std::string& instance_id, std::uint32_t capacity);
-    // The server has deregistered itself (DELETE). Ignored for any other instance than the current one.
+    // What others remember of the server from before a restart of this proxy: its newest instance, the call
+    // number of a heartbeat of that, and whether it has said `closing` or deregistered. Called once, before
+    // the first heartbeat.
+    void restore(const std::string& instance_id, std::uint64_t call_seq, bool closing);
+    // An instance has deregistered itself (DELETE): its late heartbeats are ignored, also if it is not known
+    // here yet.
     void on_deregistered(const std::string& instance_id);
     // The proxy itself shuts down: no request starts from now on.
     void leave() { leaving_ = true; }
@@ -128,6 +136,8 @@
     bool exceeds_expected_limit(Millis expected, const Offer& offer, Millis now) const;
     bool accepting() const { return !instance_id_.empty() && !closing_ && !leaving_; }
     void switch_instance(const std::string& instance_id);
+    bool is_former(const std::string& instance_id) const;
+    void remember_former(const std::string& instance_id);
     void remember_started(const std::string& id);
 
     Settings settings_;
@@ -144,6 +154,11 @@
     void start(const Offer& offer, Millis target);
     std::unordered_map<Ticket, Working> working_;
     std::vector<std::string> former_instances_;  // the newest last; their late heartbeats are ignored
+    struct RestoredInstance {
+        std::string id;
+        std::uint64_t call_seq;
+    };
+    std::optional<RestoredInstance> restored_;  // open when it was last heard of; until the first heartbeat
     // Ids of once-only requests that have started, with the order in which they did, to evict the oldest.
     std::unordered_map<std::string, std::uint64_t> started_ids_;
     std::map<std::uint64_t, std::string> started_ids_by_order_;
--- a/src/admission/inbound_requests.hpp
+++ b/src/admission/inbound_requests.hpp
@@ -72,6 +72,9 @@
                       std::uint64_t call_seq);
     void on_healthy(Millis now, const std::string& instance_id, std::uint32_t capacity);
     void on_deregistered(Millis now, const std::string& instance_id);
+    void restore(const std::string& instance_id, std::uint64_t call_seq, bool closing) {
+        admission_.restore(instance_id, call_seq, closing);
+    }
     void leave(Millis now);
 
     // ---- Requests
--- a/src/gossip/compare.cpp
+++ b/src/gossip/compare.cpp
@@ -131,7 +131,7 @@
     std::vector<std::uint32_t> listed;
     for (const Key& key : message.keys) {
         listed.push_back(key.ip);
-        if (check_own_key(now, key)) {
+        if (check_own_key(now, key, message.from.ip)) {
             if (newer(self(), key)) to_send.push_back(registry_.find(own_ip_)->key());
             continue;
         }
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -18,7 +18,9 @@
 constexpr Millis kRelayTimeoutMs = 1000, kPurgeIntervalMs = 5000, kJoinRetryMs = 200;
 constexpr Millis kJoinDelayMs = 20;  // from received records to the next comparison, as more may follow
 constexpr std::uint64_t kDetectorSeedSalt = 0x77617463;  // gives the detector a random sequence of its own
-constexpr std::size_t kKeyBytes = 21;                    // of an encoded Key
+// How long a restarted node asks for its former record before it replaces it unseen.
+constexpr Millis kFormerSelfTimeoutMs = 1000;
+constexpr std::size_t kKeyBytes = 21;  // of an encoded Key
 }  // namespace
 
 Gossip::Gossip(const GossipSettings& settings, NodeRecord self)
@@ -26,8 +28,8 @@
       own_ip_(self.ip),
       random_(settings.seed),
       detector_(settings.detector, settings.seed ^ kDetectorSeedSalt) {
-    self.incarnation = 1 + random_.below(std::size_t{1} << 31);
-    self.seq = 1;
+    self.incarnation = settings.restarted ? 1 : 1 + random_.below(std::size_t{1} << 31);
+    self.seq = settings.restarted ? 0 : 1;
     registry_.merge(0, self);
 }
 
@@ -89,9 +91,23 @@
     forward(now, own_ip_, 0);
 }
 
-bool Gossip::check_own_key(Millis now, const Key& key) {
+bool Gossip::awaits_former_self() const {
+    if (!settings_.restarted || former_self_) return false;
+    return !former_self_requested_at_ || now_ < *former_self_requested_at_ + kFormerSelfTimeoutMs;
+}
+
+bool Gossip::former_self_settled() const {
+    return !awaits_former_self() || (joined_ && !former_self_requested_at_);
+}
+
+bool Gossip::check_own_key(Millis now, const Key& key, std::uint32_t from) {
     if (key.ip != own_ip_) return false;
     const NodeRecord& own = self();
+    if (newer(key, own) && awaits_former_self()) {
+        if (!former_self_requested_at_) former_self_requested_at_ = now;
+        send_keys(from, Kind::request, {key});
+        return true;
+    }
     if (key.incarnation > own.incarnation || (key.incarnation == own.incarnation && key.seq > own.seq)) {
         raise_version(now, key.incarnation + 1, 1);
     } else if (same_version(key, own) && key.state != MemberState::alive) {
@@ -110,7 +126,9 @@
 }
 
 bool Gossip::apply_record(Millis now, const NodeRecord& record, std::uint32_t from, Via via) {
-    if (check_own_key(now, {record.ip, record.incarnation, record.seq, MemberState::alive})) return false;
+    if (record.ip == own_ip_ && newer(record, self()) && awaits_former_self()) former_self_ = record;
+    if (check_own_key(now, {record.ip, record.incarnation, record.seq, MemberState::alive}, from))
+        return false;
     const Entry* known = registry_.find(record.ip);
     const bool was_present = known && known->state != MemberState::gone;
     const bool same_incarnation = was_present && known->record.incarnation == record.incarnation;
@@ -130,7 +148,7 @@
 }
 
 bool Gossip::apply_state(Millis now, const Key& key, std::uint32_t from) {
-    if (key.state == MemberState::alive || check_own_key(now, key)) return false;
+    if (key.state == MemberState::alive || check_own_key(now, key, from)) return false;
     const Entry* entry = registry_.find(key.ip);
     if (!entry) return false;
     if (newer(entry->record, key)) {  // already refuted, which the sender does not know yet
@@ -211,7 +229,7 @@
         case Kind::verify:
             failure_detector::FailureDetector::Output detector_output;
             for (const Key& key : message.keys) {
-                if (check_own_key(now, key)) continue;
+                if (check_own_key(now, key, message.from.ip)) continue;
                 const Entry* entry = registry_.find(key.ip);
                 if (!entry || entry->state == MemberState::gone || newer(entry->record, key)) continue;
                 send_keys(key.ip, Kind::verify, {key});  // if alive it refutes
@@ -253,7 +271,7 @@
 }
 
 void Gossip::handle_probe(Millis now, const Message& message) {
-    check_own_key(now, message.target);
+    check_own_key(now, message.target, message.from.ip);
     Message ack = this->message(Kind::ack);
     ack.number = message.number;
     ack.target = registry_.find(own_ip_)->key();
@@ -296,7 +314,7 @@
 
 void Gossip::handle_announce(Millis now, const Message& message) {
     for (const Key& key : message.keys) {
-        if (check_own_key(now, key)) continue;
+        if (check_own_key(now, key, message.from.ip)) continue;
         const Entry* entry = registry_.find(key.ip);
         const bool up_to_date = entry && (newer(entry->record, key) ||
                                           (same_version(entry->record, key) && entry->state >= key.state));
--- a/src/gossip/gossip.hpp
+++ b/src/gossip/gossip.hpp
@@ -7,6 +7,7 @@
 // - Only a node itself creates its records. If others hold a later record of it than its own, for example
 //   from before a restart, it takes a higher incarnation.
 // - A node that was reported gone comes back only by a later record of its own.
+// - A restarted node replaces its former record only after it has received it, or has asked for it in vain.
 // - A node that holds another alive does not adopt from a table comparison that it is gone: it probes
 //   (verify).
 // - The rate of a node's probes, and so the load of an idle node, does not grow with the cluster.
@@ -25,6 +26,9 @@
 struct GossipSettings {
     std::vector<std::uint32_t> seeds;  // IPs
     std::uint64_t seed = 0;  // of the random numbers; must differ between nodes and between restarts
+    // A process may have run at this address before. It then starts with the lowest incarnation, so that the
+    // others send it their record of the former process before they replace it.
+    bool restarted = false;
     failure_detector::Settings detector;
     // Between probes of seeds that are not among the live nodes. The delay grows from the lower to the upper
     // bound while no other node is known, and is the upper bound otherwise.
@@ -81,6 +85,11 @@
     const registry::Registry& registry() const { return registry_; }
     // A complete table comparison found no node that this one does not know. Never false again.
     bool joined() const { return joined_; }
+    // Whether it is settled what the others hold of the process that ran here before: they have sent its
+    // record, or hold none. Never false again.
+    bool former_self_settled() const;
+    // That record; none: nobody has sent one.
+    const std::optional<NodeRecord>& former_self() const { return former_self_; }
     const GossipCounts& counts() const { return counts_; }
     // This node's links in the broadcast tree.
     const std::vector<BroadcastTree::Link>& links() const { return tree_.links(); }
@@ -111,8 +120,9 @@
     void compare_if_due(Millis now, const Message& message);
 
     // True if the key is of this node. If it is newer than the own record, or calls this node suspect or
-    // gone, the claim is refuted by a new version of the record.
-    bool check_own_key(Millis now, const Key& key);
+    // gone, the claim is refuted by a new version of the record. `from`: who sent it.
+    bool check_own_key(Millis now, const Key& key, std::uint32_t from);
+    bool awaits_former_self() const;
     void raise_version(Millis now, std::uint64_t incarnation, std::uint64_t seq);
     enum class Via : std::uint8_t { tree, outside_tree, initial_sync };  // how a record arrived
     // True if the record was new. Records of the initial synchronisation are not forwarded.
@@ -138,6 +148,8 @@
     GossipCounts counts_;
     Millis now_ = 0;  // of the current call
     bool links_outdated_ = false, joined_ = false;
+    std::optional<NodeRecord> former_self_;
+    std::optional<Millis> former_self_requested_at_;  // since when somebody is known to hold it
     Millis next_seed_probe_at_ = 1e18, seed_probe_delay_ = 0, next_join_at_ = 1e18, last_push_at_ = -1e18,
            last_comparison_at_ = -1e18, last_change_at_ = -1e18, next_purge_at_ = 0;
     Millis last_gone_probe_at_ = -1e18;
--- a/src/gossip_io/gossip_transport.cpp
+++ b/src/gossip_io/gossip_transport.cpp
@@ -37,10 +37,11 @@
     return seeds;
 }
 
-gossip::GossipSettings settings_of(const std::vector<std::uint32_t>& seeds) {
+gossip::GossipSettings settings_of(const std::vector<std::uint32_t>& seeds, bool restarted) {
     gossip::GossipSettings settings;
     settings.seeds = seeds;
     settings.seed = random_seed();
+    settings.restarted = restarted;
     return settings;
 }
 
@@ -67,7 +68,7 @@
       seeds_(seeds_of(boot, parse_ip(boot.ip))),
       socket_(io, udp::endpoint(asio::ip::address_v4(parse_ip(boot.ip)), boot.first_port)),
       timer_(io),
-      gossip_(settings_of(seeds_), record_of(boot, role, traffic_port)) {
+      gossip_(settings_of(seeds_, !boot.first_boot), record_of(boot, role, traffic_port)) {
     socket_.non_blocking(true);
 }
 
@@ -179,6 +180,8 @@
                  "NW001 joined: " + std::to_string(gossip_.registry().entries().size()) + " nodes known",
                  {{"nodes", static_cast<std::uint64_t>(gossip_.registry().entries().size())}});
     const auto alive = alive_;
+    report_former_self();
+    if (!*alive || !running_) return;
     for (const std::uint32_t ip : out.changed) {
         const auto known = node(ip);
         if (!known) continue;
@@ -193,6 +196,12 @@
     }
 }
 
+void GossipTransport::report_former_self() {
+    if (former_self_reported_ || !gossip_.former_self_settled()) return;
+    former_self_reported_ = true;
+    if (on_former_self) on_former_self(gossip_.former_self());
+}
+
 void GossipTransport::set_timer() {
     const double due = gossip_.due();
     if (due == timer_due_) return;
--- a/src/gossip_io/gossip_transport.hpp
+++ b/src/gossip_io/gossip_transport.hpp
@@ -70,6 +70,9 @@
     // it until this node holds it too.
     std::function<void(std::uint32_t ip, std::uint64_t edition)> on_newer_configuration;
 
+    // Once, when it is settled what the others hold of the process that ran here before; none: nothing.
+    std::function<void(const std::optional<NodeRecord>& former)> on_former_self;
+
     // Hints from other connections: the node has just answered, or failed to.
     void reachable(std::uint32_t ip);
     void unreachable(std::uint32_t ip);
@@ -84,6 +87,7 @@
     void handle_datagram(double at, std::size_t size);  // buffer_, from sender_
     void drain_socket(double at);
     void send(const gossip::Gossip::Output& out);
+    void report_former_self();
     void log_change(const Known& known) const;
     void process(double at);     // runs the gossip and carries out its output
     void schedule_processing();  // in the next turn of the event loop
@@ -102,7 +106,8 @@
     std::array<char, 2048> buffer_{};
     Counts counts_;
     double timer_due_ = 1e18;
-    bool running_ = false, processing_scheduled_ = false, joined_logged_ = false;
+    bool running_ = false, processing_scheduled_ = false, joined_logged_ = false,
+         former_self_reported_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/proxy/heartbeat_resource.cpp
+++ b/src/proxy/heartbeat_resource.cpp
@@ -69,6 +69,14 @@
     return heartbeat;
 }
 
+void HeartbeatResource::acknowledge_end(std::function<void(ApiAnswer)> done) const {
+    const auto acknowledge = [done = std::move(done)] { done({200, "{}", "", 0}); };
+    if (handlers_.after_end_is_sent)
+        handlers_.after_end_is_sent(acknowledge);
+    else
+        acknowledge();
+}
+
 bool HeartbeatResource::handle(const ApiRequest& request, std::function<void(ApiAnswer)> done) {
     if (!request.target.starts_with(kServersPath)) return false;
     const std::string instance_id = request.target.substr(kServersPath.size());
@@ -77,12 +85,15 @@
         done(bad_request("the path names no server"));
     } else if (request.method == "DELETE") {
         handlers_.on_deregistered(instance_id);
-        done({200, "{}", "", 0});
+        acknowledge_end(std::move(done));
     } else if (request.method == "PUT") {
         std::string error_text;
         const auto heartbeat = parse_heartbeat(instance_id, request.body, error_text);
         if (heartbeat) handlers_.on_heartbeat(*heartbeat);
-        done(heartbeat ? ApiAnswer{200, "{}", "", 0} : bad_request(error_text));
+        if (heartbeat && heartbeat->closing)
+            acknowledge_end(std::move(done));
+        else
+            done(heartbeat ? ApiAnswer{200, "{}", "", 0} : bad_request(error_text));
     } else {
         done({405, "", "", 0});
     }
--- a/src/proxy/heartbeat_resource.hpp
+++ b/src/proxy/heartbeat_resource.hpp
@@ -3,7 +3,8 @@
 // HeartbeatResource, ReadinessResource.
 //
 // A heartbeat is acknowledged only after the admission has applied it. The admission then acts on it even if
-// the membership gossip about it is delayed.
+// the membership gossip about it is delayed. The end of a server is acknowledged only after the other nodes
+// have been sent it: they remember it if this proxy is killed right after.
 #pragma once
 
 #include <functional>
@@ -30,11 +31,16 @@
     struct Handlers {
         std::function<void(const Heartbeat&)> on_heartbeat;
         std::function<void(const std::string& instance_id)> on_deregistered;
+        // Calls `acknowledge` once the others have been sent that the server ends; empty: it is called at
+        // once.
+        std::function<void(std::function<void()> acknowledge)> after_end_is_sent = {};
     };
     explicit HeartbeatResource(Handlers handlers) : handlers_(std::move(handlers)) {}
     bool handle(const ApiRequest& request, std::function<void(ApiAnswer)> done) override;
 
 private:
+    void acknowledge_end(std::function<void(ApiAnswer)> done) const;
+
     Handlers handlers_;
 };
 
--- a/src/proxy/inbound.cpp
+++ b/src/proxy/inbound.cpp
@@ -95,7 +95,7 @@
                                  const std::string instance_id(check->response["Instance"]);
                                  if (instance_id.empty() || !admission().instance_id().empty()) return;
                                  requests_.on_healthy(clock_.now(), instance_id, capacity);
-                                 on_healthy(instance_id);
+                                 if (admission().instance_id() == instance_id) on_healthy(instance_id);
                              });
         });
     });
--- a/src/proxy/inbound.hpp
+++ b/src/proxy/inbound.hpp
@@ -16,6 +16,7 @@
 #include "net/paced_link.hpp"
 #include "net/upstream.hpp"
 #include "proxy/hop_headers.hpp"
+#include "registry/records.hpp"
 
 namespace cobaltshift::proxy {
 
@@ -34,6 +35,9 @@
     bool on_heartbeat(const std::string& instance_id, std::uint32_t capacity, bool closing,
                       std::uint64_t call_seq);
     void on_deregistered(const std::string& instance_id);
+    void restore(const registry::ServerRecord& former) {
+        requests_.restore(former.instance_id, former.call_seq, former.closing);
+    }
     // Sends one health check to the server to learn its instance id, for use when the proxy has restarted and
     // has not received a heartbeat. `on_healthy` is called if the server is healthy and its instance was
     // still unknown.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -11,6 +11,9 @@
 constexpr std::chrono::seconds kTallyInterval{60};
 // Assumed for a server that has answered a health check but has not sent a heartbeat yet.
 constexpr std::uint32_t kDefaultCapacity = 4;
+constexpr std::size_t kMaxEarlyHeartbeats = 8;
+// From the record of a server's end until its acknowledgement, so that the record leaves first.
+constexpr std::chrono::milliseconds kEndAcknowledgementDelay{20};
 
 // Part of the link that answers may use; the rest is for requests, gossip, packet headers and
 // acknowledgements. At a higher rate than the link carries, answers would queue in the kernel, where short
@@ -83,7 +86,12 @@
            [this](std::uint32_t ip) { gossip_.unreachable(ip); }},
           seed, &memory_),
       heartbeat_resource_({[this](const Heartbeat& heartbeat) { on_heartbeat(heartbeat); },
-                           [this](const std::string& instance_id) { on_deregistered(instance_id); }}),
+                           [this](const std::string& instance_id) { on_deregistered(instance_id); },
+                           [this](const std::function<void()>& acknowledge) {
+                               const auto timer =
+                                   std::make_shared<asio::steady_timer>(io_, kEndAcknowledgementDelay);
+                               timer->async_wait([timer, acknowledge](error_code) { acknowledge(); });
+                           }}),
       readiness_resource_([this] { return ready(); }),
       control_front_(kMaxCallBytes),
       ready_front_(kMaxCallBytes),
@@ -102,6 +110,9 @@
     gossip_.on_newer_configuration = [this](std::uint32_t ip, std::uint64_t edition) {
         distributor_.hint(ip, edition);
     };
+    gossip_.on_former_self = [this](const std::optional<registry::NodeRecord>& former) {
+        on_former_self(former);
+    };
     distributor_.on_new_configuration = [this](std::shared_ptr<const config::Configuration> t) {
         on_new_configuration(std::move(t));
     };
@@ -118,7 +129,26 @@
 
 bool Proxy::ready() const { return !leaving_ && outbound_.has_configuration() && gossip_.joined(); }
 
+void Proxy::on_former_self(const std::optional<registry::NodeRecord>& former) {
+    former_self_known_ = true;
+    if (former && former->server) {
+        inbound_.restore(*former->server);
+        // Kept for a next restart, until the server's next heartbeat.
+        gossip_.update_self([&](registry::NodeRecord& own) {
+            if (!own.server) own.server = former->server;
+        });
+    }
+    for (const Heartbeat& heartbeat : std::exchange(early_heartbeats_, {})) on_heartbeat(heartbeat);
+    if (const auto configuration = distributor_.held()) check_health(*configuration);
+}
+
 void Proxy::on_heartbeat(const Heartbeat& heartbeat) {
+    if (!former_self_known_) {
+        early_heartbeats_.push_back(heartbeat);
+        if (early_heartbeats_.size() > kMaxEarlyHeartbeats)
+            early_heartbeats_.erase(early_heartbeats_.begin());
+        return;
+    }
     if (!inbound_.on_heartbeat(heartbeat.instance_id, heartbeat.capacity, heartbeat.closing,
                                heartbeat.call_seq))
         return;
@@ -140,7 +170,12 @@
 void Proxy::on_deregistered(const std::string& instance_id) {
     inbound_.on_deregistered(instance_id);
     gossip_.update_self([&](registry::NodeRecord& own) {
-        if (own.server && own.server->instance_id == instance_id) own.server->closing = true;
+        if (!own.server) {  // not heard of since this proxy's start; the others must know it all the same
+            own.server.emplace();
+            own.server->instance_id = instance_id;
+            own.server->service = boot_.service;
+        }
+        if (own.server->instance_id == instance_id) own.server->closing = true;
     });
     outbound_.registry_changed();
 }
@@ -186,7 +221,7 @@
 }
 
 void Proxy::check_health(const config::Configuration& configuration) {
-    if (boot_.first_boot || health_checked_ || !boot_.app_address ||
+    if (boot_.first_boot || !former_self_known_ || health_checked_ || !boot_.app_address ||
         !inbound_.admission().instance_id().empty())
         return;
     const auto service = configuration.services.find(boot_.service);
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "api/api_front.hpp"
 #include "boot/boot.hpp"
@@ -33,6 +34,9 @@
 private:
     void on_heartbeat(const Heartbeat& beat);
     void on_deregistered(const std::string& instance_id);
+    // What the others hold of this proxy from before its restart. Heartbeats that came before are applied
+    // now.
+    void on_former_self(const std::optional<registry::NodeRecord>& former);
     void on_new_configuration(std::shared_ptr<const config::Configuration> configuration);
     // Puts the distributor's configuration in force as soon as StartupConfirmation allows it, and asks
     // control nodes whether it is current.
@@ -70,6 +74,8 @@
     asio::steady_timer timer_, tally_timer_, confirmation_timer_;
     std::function<void()> on_stopped_;
     std::optional<shutdown::ShutdownSequence> shutdown_;  // set by SIGTERM
+    std::vector<Heartbeat> early_heartbeats_;             // until former_self_known_
+    bool former_self_known_ = false;
     bool leaving_ = false, health_checked_ = false, was_confirmed_ = false;
 };
 
--- a/src/sim_mesh/hub.cpp
+++ b/src/sim_mesh/hub.cpp
@@ -22,7 +22,7 @@
 }  // namespace
 
 Hub::Hub(World& world, Ip ip, Disk& disk, bool first_boot)
-    : Node(world, ip, registry::NodeRole::control_node), disk_(disk), first_boot_(first_boot) {
+    : Node(world, ip, registry::NodeRole::control_node, !first_boot), disk_(disk), first_boot_(first_boot) {
     begin();
     open();
     look();
--- a/src/sim_mesh/inbound.cpp
+++ b/src/sim_mesh/inbound.cpp
@@ -31,6 +31,10 @@
     if (world_.safeguards.closing_at_admission) requests_.on_deregistered(world_.time.now(), life);
 }
 
+void Inbound::restore(const registry::ServerRecord& former) {
+    requests_.restore(former.instance_id, former.call_seq, former.closing);
+}
+
 void Inbound::leave() { requests_.leave(world_.time.now()); }
 
 void Inbound::seen_well(const std::string& life, std::uint32_t capacity) {
--- a/src/sim_mesh/inbound.hpp
+++ b/src/sim_mesh/inbound.hpp
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "admission/inbound_requests.hpp"
+#include "registry/records.hpp"
 #include "sim_mesh/server_connections.hpp"
 
 namespace cobaltshift::simmesh {
@@ -18,6 +19,7 @@
 
     bool beat(const std::string& life, std::uint32_t capacity, bool closing, std::uint64_t seq);
     void gone(const std::string& life);
+    void restore(const registry::ServerRecord& former);
     void leave();
     void seen_well(const std::string& life, std::uint32_t capacity);
     void arrived(const HopMessage& message, const CallPtr& call, Answered answer);
--- a/src/sim_mesh/node.cpp
+++ b/src/sim_mesh/node.cpp
@@ -10,11 +10,12 @@
 namespace {
 constexpr Millis kSilence = 300;  // as config_io/config_distributor.hpp
 
-gossip::GossipSettings settings_of(World& world, Ip ip) {
+gossip::GossipSettings settings_of(World& world, Ip ip, bool restarted) {
     gossip::GossipSettings settings;
     for (const Ip seed : world.seeds())
         if (seed != ip) settings.seeds.push_back(seed);
     settings.seed = world.draw();
+    settings.restarted = restarted;
     return settings;
 }
 registry::NodeRecord record_of(World& world, Ip ip, registry::NodeRole role) {
@@ -27,8 +28,8 @@
 }
 }  // namespace
 
-Node::Node(World& world, Ip ip, registry::NodeRole role)
-    : world_(world), ip_(ip), gossip_(settings_of(world, ip), record_of(world, ip, role)) {}
+Node::Node(World& world, Ip ip, registry::NodeRole role, bool restarted)
+    : world_(world), ip_(ip), gossip_(settings_of(world, ip, restarted), record_of(world, ip, role)) {}
 
 Millis Node::now() const { return world_.time.now(); }
 void Node::after(Millis delay, Task what) { world_.net.after(ip_, delay, std::move(what)); }
@@ -66,6 +67,10 @@
             act();
         });
     }
+    if (!former_self_reported_ && gossip_.former_self_settled()) {
+        former_self_reported_ = true;
+        on_former_self(gossip_.former_self());
+    }
     if (!out.changed.empty()) registry_changed();
     for (const auto& edition : out.editions)
         if (edition.config_edition > gossip_.self().config_edition)
--- a/src/sim_mesh/node.hpp
+++ b/src/sim_mesh/node.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "config/fetch_schedule.hpp"
 #include "config/startup_confirmation.hpp"
@@ -17,7 +18,8 @@
 
 class Node {
 public:
-    Node(World& world, Ip ip, registry::NodeRole role);
+    // `restarted`: a process may have run at this address before.
+    Node(World& world, Ip ip, registry::NodeRole role, bool restarted);
     virtual ~Node() = default;
     Node(const Node&) = delete;
 
@@ -39,6 +41,7 @@
     std::size_t live_proxies() const;
     Millis now() const;
     virtual void registry_changed() {}
+    virtual void on_former_self(const std::optional<registry::NodeRecord>&) {}
     virtual void heard_of(Ip, config::Edition) {}
     virtual void on_new_configuration() {}
 
@@ -55,7 +58,7 @@
     void fetched(Ip from, std::shared_ptr<const config::Configuration> got, bool answered);
 
     gossip::Gossip gossip_;
-    bool acting_soon_ = false, fetch_armed_ = false;
+    bool acting_soon_ = false, fetch_armed_ = false, former_self_reported_ = false;
     Millis armed_ = 1e18;
     std::shared_ptr<const config::Configuration> held_;
     config::FetchSchedule schedule_;
--- a/src/sim_mesh/proxy.cpp
+++ b/src/sim_mesh/proxy.cpp
@@ -15,7 +15,7 @@
 }  // namespace
 
 Proxy::Proxy(World& world, Ip ip, std::string service, bool first_boot)
-    : Node(world, ip, registry::NodeRole::proxy),
+    : Node(world, ip, registry::NodeRole::proxy, !first_boot),
       service_(std::move(service)),
       first_boot_(first_boot),
       inbound_(*this, world, ip),
@@ -30,26 +30,52 @@
 
 bool Proxy::beat(const Server& server, bool closing, std::uint64_t seq) {
     if (!first_boot_ && !world_.safeguards.hears_beats) return true;
-    if (!inbound_.beat(server.life(), server.settings().capacity, closing, seq)) return true;
+    registry::ServerRecord record;
+    record.instance_id = server.life();
+    record.service = server.service();
+    record.capacity = server.settings().capacity;
+    record.closing = closing && world_.safeguards.closing_at_admission;
+    record.call_seq = seq;
+    record.warmup_left_s = server.warmup_left_s();
+    const Heartbeat heartbeat{record, closing};
+    if (former_self_known_)
+        apply(heartbeat);
+    else
+        early_heartbeats_.push_back(heartbeat);
+    return true;
+}
+
+void Proxy::apply(const Heartbeat& heartbeat) {
+    const registry::ServerRecord& server = heartbeat.server;
+    if (!inbound_.beat(server.instance_id, server.capacity, heartbeat.closing, server.call_seq)) return;
     tell([&](registry::NodeRecord& own) {
-        registry::ServerRecord record;
-        record.instance_id = server.life();
-        record.service = server.service();
-        record.capacity = server.settings().capacity;
-        record.closing = closing && world_.safeguards.closing_at_admission;
-        record.call_seq = seq;
-        record.warmup_left_s = server.warmup_left_s();
-        own.server = record;
+        own.server = server;
         own.ready = !leaving_;
     });
     registry_changed();
-    return true;
+}
+
+void Proxy::on_former_self(const std::optional<registry::NodeRecord>& former) {
+    former_self_known_ = true;
+    if (former && former->server) {
+        inbound_.restore(*former->server);
+        tell([&](registry::NodeRecord& own) {
+            if (!own.server) own.server = former->server;
+        });
+    }
+    for (const Heartbeat& heartbeat : std::exchange(early_heartbeats_, {})) apply(heartbeat);
+    check_health();
 }
 
 void Proxy::server_gone(const std::string& life) {
     inbound_.gone(life);
     tell([&](registry::NodeRecord& own) {
-        if (own.server && own.server->instance_id == life) own.server->closing = true;
+        if (!own.server) {
+            own.server.emplace();
+            own.server->instance_id = life;
+            own.server->service = service_;
+        }
+        if (own.server->instance_id == life) own.server->closing = true;
     });
     registry_changed();
 }
@@ -123,6 +149,11 @@
 void Proxy::on_new_configuration() {
     reconsider_configuration();
     tell([this](registry::NodeRecord& own) { own.config_edition = edition(); });
+    check_health();
+}
+
+void Proxy::check_health() {
+    if (!held() || !former_self_known_) return;
     if (first_boot_ || asked_health_ || !inbound_.admission().instance_id().empty() ||
         !world_.safeguards.hears_beats)
         return;
@@ -132,6 +163,7 @@
     after(1, [this, life = server->life()] {
         if (!inbound_.admission().instance_id().empty()) return;
         inbound_.seen_well(life, kCapacityUnheard);
+        if (inbound_.admission().instance_id() != life) return;
         tell([&](registry::NodeRecord& own) {
             registry::ServerRecord record;
             record.instance_id = life;
--- a/src/sim_mesh/proxy.hpp
+++ b/src/sim_mesh/proxy.hpp
@@ -34,6 +34,14 @@
     void hop_newer(config::Edition edition);
 
 private:
+    // What a beat says, for one that came before the former record is known.
+    struct Heartbeat {
+        registry::ServerRecord server;
+        bool closing = false;
+    };
+    void on_former_self(const std::optional<registry::NodeRecord>& former) override;
+    void apply(const Heartbeat& heartbeat);
+    void check_health();
     void registry_changed() override;
     void heard_of(Ip ip, config::Edition edition) override { hint(ip, edition); }
     void on_new_configuration() override;
@@ -63,6 +71,8 @@
     };
     routing::EarlyRequests<EarlyRequest> early_;
     std::map<std::uint64_t, RequestId> early_numbers_;
+    std::vector<Heartbeat> early_heartbeats_;
+    bool former_self_known_ = false;
     bool listing_ = false, asked_health_ = false, refuses_new_ = false;
     std::optional<shutdown::ShutdownSequence> shutdown_;  // since SIGTERM
     Millis confirmation_armed_ = 0, started_at_ = 0;
--- a/tests/mesh/admission_test.cpp
+++ b/tests/mesh/admission_test.cpp
@@ -371,3 +371,41 @@
         CHECK(refused(admission.offer(0, make_offer(9, id)), Reason::repeated));
     CHECK(admission.offer(0, make_offer(10, "1")).disposition == Disposition::begin);
 }
+
+// Guards review case 2: after a restart of the proxy a heartbeat that was sent before the server deregistered
+// readmitted it.
+TEST_CASE("admission: an instance that others remember as closing is not revived after a restart") {
+    Admission admission;
+    admission.restore("i-1", 4, true);
+    CHECK_FALSE(admission.on_heartbeat("i-1", 2, false, 9));
+    admission.on_healthy("i-1", 2);
+    CHECK(admission.instance_id().empty());
+    CHECK(refused(admission.offer(0, make_offer(1, "a")), Reason::wrong_instance));
+    CHECK(admission.on_heartbeat("i-2", 2, false, 1));
+    CHECK(admission.instance_id() == "i-2");
+}
+
+TEST_CASE(
+    "admission: after a restart an open instance goes on with a heartbeat newer than what is remembered") {
+    Admission admission;
+    admission.restore("i-1", 4, false);
+    CHECK_FALSE(admission.on_heartbeat("i-1", 2, false, 4));
+    CHECK(admission.instance_id().empty());
+    CHECK(admission.on_heartbeat("i-1", 2, false, 5));
+    CHECK(admission.offer(0, make_offer(1, "a")).disposition == Disposition::begin);
+}
+
+TEST_CASE("admission: after a restart a new instance replaces the one that others remember") {
+    Admission admission;
+    admission.restore("i-1", 4, false);
+    CHECK(admission.on_heartbeat("i-2", 2, false, 1));
+    CHECK_FALSE(admission.on_heartbeat("i-1", 2, false, 5));
+    CHECK(admission.instance_id() == "i-2");
+}
+
+TEST_CASE("admission: a deregistration counts for an instance that is not known yet") {
+    Admission admission;
+    admission.on_deregistered("i-1");
+    CHECK_FALSE(admission.on_heartbeat("i-1", 2, false, 1));
+    CHECK(admission.instance_id().empty());
+}
--- a/tests/mesh/gossip_test.cpp
+++ b/tests/mesh/gossip_test.cpp
@@ -259,6 +259,32 @@
     }
 }
 
+// What a proxy promised its server must outlive the proxy: the others' record of it is its only memory.
+TEST_CASE("gossip: a restarted node is told its former record before it replaces it, with loss too") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        GossipWorld world = converged_world(15, seed);
+        world.loss = 0.1;
+        for (int i = 0; i < 3; ++i) {
+            world.update(8, [](registry::NodeRecord& own) {
+                own.server = registry::ServerRecord{"i-closing", "huvo11a", "v1", 8080, 18, true};
+            });
+            world.run(world.now + 1500);
+            world.kill(8);
+            world.run(world.now + 300);
+            world.start(8);
+            const auto settled = world.run_until(
+                world.now + 3000, [&] { return world.nodes[8].gossip->former_self_settled(); });
+            REQUIRE(settled);
+            const auto& former = world.nodes[8].gossip->former_self();
+            REQUIRE(former);
+            REQUIRE(former->server);
+            CHECK(former->server->instance_id == "i-closing");
+            CHECK(former->server->closing);
+            world.run(world.now + 500);
+        }
+    }
+}
+
 TEST_CASE("gossip: half of the nodes killed at once, then all") {
     GossipWorld world = converged_world(30, 10, 0.01);
     for (std::size_t i = 1; i < 30; i += 2) world.kill(i);
--- a/tests/mesh/gossip_world.hpp
+++ b/tests/mesh/gossip_world.hpp
@@ -54,6 +54,7 @@
         for (std::size_t seed = 0; seed < std::min<std::size_t>(3, nodes.size()); ++seed)
             if (seed != i) settings.seeds.push_back(ip_of(seed));
         settings.seed = 1 + random_.below(std::size_t{1} << 60);
+        settings.restarted = nodes[i].starts > 0;
         nodes[i].gossip = std::make_unique<Gossip>(settings, nodes[i].record);
         nodes[i].queued.clear();
         nodes[i].frozen = false;
