Tests: trailers, chunk extensions, endless answers, control calls, a largest request

Places where bytes are held that the first tests did not reach: fields behind a body and extensions of its chunks, at both proxies; an answer that a server never ends; the control node's own interface; and one request of 64 MiB with an answer of 64 MiB, through two proxies and through one. The bounds now hold for the control node too.

--- a/src/lab/soak_operator.cpp
+++ b/src/lab/soak_operator.cpp
@@ -28,7 +28,7 @@
 std::string SoakOperator::configuration(std::uint64_t version) {
     const auto route = [&](const std::string& name, const char* kind) {
         return "\"" + name + R"(":{"host":"soak.example","path_prefix":"/)" + name + R"(/","route_kind":")" +
-               kind + R"(","deadline_s":)" + std::to_string(5 + random_.below(5)) +
+               kind + R"(","deadline_s":)" + std::to_string(limits_.min_deadline_s + random_.below(5)) +
                R"(,"target_s":1,"priority":1,"service":"goods","tries":2})";
     };
     std::string routes = route("plain", "plain") + "," + route("registered", "registered");
@@ -36,7 +36,8 @@
         routes += "," + route("idle" + std::to_string(i), "plain");
     return R"({"edition":")" + name_of(version) + R"(","routes":{)" + routes +
            R"(},"services":{"goods":{"health_path":"/health","max_connections":500}},)"
-           R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_read_s":3,"idle_timeout_s":)" +
+           R"("limits":{"max_header_bytes":16384,"max_body_bytes":)" +
+           std::to_string(limits_.max_body_bytes) + R"(,"header_read_s":3,"idle_timeout_s":)" +
            std::to_string(6 + random_.below(10)) + "}}";
 }
 
--- a/src/lab/soak_operator.hpp
+++ b/src/lab/soak_operator.hpp
@@ -12,12 +12,18 @@
 
 namespace cobaltshift::lab {
 
+// Of the configurations that the operator brings.
+struct SoakConfigurationLimits {
+    std::size_t max_body_bytes = 4 << 20;
+    unsigned min_deadline_s = 5;  // of a route
+};
+
 class SoakOperator {
 public:
     // `controls`: the control nodes' control addresses.
     SoakOperator(asio::io_context& io, SoakLedger& ledger, kelplb::Random& random,
-                 std::vector<tcp::endpoint> controls)
-        : io_(io), ledger_(ledger), random_(random), controls_(std::move(controls)) {}
+                 std::vector<tcp::endpoint> controls, SoakConfigurationLimits limits = {})
+        : io_(io), ledger_(ledger), random_(random), controls_(std::move(controls)), limits_(limits) {}
 
     awaitable<void> change_once();
     awaitable<void> change_until(std::shared_ptr<const bool> stopped);
@@ -35,6 +41,7 @@
     SoakLedger& ledger_;
     kelplb::Random& random_;
     const std::vector<tcp::endpoint> controls_;
+    const SoakConfigurationLimits limits_;
     std::uint64_t version_ = 0, acknowledged_ = 0;
 };
 
--- a/src/lab/soak_server.cpp
+++ b/src/lab/soak_server.cpp
@@ -15,7 +15,7 @@
 constexpr double kHeartbeatMs = 500;
 constexpr double kSilent = 0.004, kLong = 0.02;  // of the requests
 constexpr std::size_t kShortAnswer = 4096, kLongRequest = 64 * 1024;
-constexpr std::size_t kMaxRequestBody = 4 << 20;
+constexpr std::size_t kMaxRequestBody = 64 << 20;
 constexpr double kMaxLateCopyMs = 12;
 // An instance's life, and for how long its address is without one.
 constexpr double kMinLifeMs = 2500, kMaxLifeMs = 9000, kMaxGapMs = 600;
@@ -84,7 +84,9 @@
     response.set("Request-Id", request["Request-Id"]);
     response.set("Postmark", "soak." + server.instance_id());
     response.body() = std::string(request["Request-Id"]);
-    if (server.chance(server.habits.large)) response.body().append(server.habits.large_bytes, 'x');
+    const bool may_be_large = request.body().size() >= server.habits.large_from_body;
+    if (may_be_large && server.chance(server.habits.large))
+        response.body().append(server.habits.large_bytes, 'x');
     return response;
 }
 
@@ -126,8 +128,23 @@
     co_return true;
 }
 
+// Writes an answer in chunks until its reader closes the connection.
+awaitable<void> answer_endlessly(ConnectionPtr connection, const HttpRequest& request) {
+    constexpr std::size_t kChunkBytes = 0x10000;
+    std::string head =
+        "HTTP/1.1 200 OK\r\nPostmark: soak.endless\r\nTransfer-Encoding: chunked\r\nRequest-Id: ";
+    head += std::string(request["Request-Id"]) + "\r\n\r\n";
+    bool open = co_await write(connection, std::move(head));
+    const std::string chunk = "10000\r\n" + std::string(kChunkBytes, 'x') + "\r\n";
+    while (open) open = co_await write(connection, chunk);
+}
+
 // Runs the request and answers it. False: the connection has ended.
 awaitable<bool> run(ServerPtr server, ConnectionPtr connection, const HttpRequest& request) {
+    if (server->habits.endless_gets && request.method() == http::verb::get) {
+        co_await answer_endlessly(connection, request);
+        co_return false;
+    }
     const std::uint64_t instance = server->instance;
     server->ledger.ran(std::string(request["Request-Id"]),
                        server->instance_id() + " connection " + std::to_string(connection->number));
--- a/src/lab/soak_server.hpp
+++ b/src/lab/soak_server.hpp
@@ -29,7 +29,9 @@
     double closing_answer = 0;        // Connection: close
     double large = 0.05;              // the answer has `large_bytes` more than its request's id
     std::size_t large_bytes = 300 * 1024;
-    bool replaced = false;  // its instances end and others take their place at the same address
+    std::size_t large_from_body = 0;  // bytes; answers to requests with shorter bodies are never large
+    bool endless_gets = false;        // a GET gets an answer in chunks that never ends
+    bool replaced = false;            // its instances end and others take their place at the same address
 };
 
 // Runs on `io` until `stopped` is true.
--- a/tests/processes/crowd.cpp
+++ b/tests/processes/crowd.cpp
@@ -53,9 +53,14 @@
 
 }  // namespace
 
-std::string request_head(const std::string& method) {
+std::string request_head(const std::string& method, unsigned deadline_ms) {
     return method + " /plain/hostile HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: " + next_id() +
-           "\r\nDeadline-Ms: 8000\r\n";
+           "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
+}
+
+std::string hop_head(const std::string& method, const std::string& instance_id) {
+    return request_head(method) +
+           "Caller: desk\r\nMesh-Hop: p;1;1000;2;1;2\r\nExpect-Instance: " + instance_id + "\r\n";
 }
 
 std::string chunk_of(std::size_t bytes) {
--- a/tests/processes/crowd.hpp
+++ b/tests/processes/crowd.hpp
@@ -24,7 +24,9 @@
 Behaviour send_chunked_body(std::size_t chunk_bytes, std::size_t bytes);
 
 // The head of a request to the test's route, without the empty line at its end.
-std::string request_head(const std::string& method);
+std::string request_head(const std::string& method, unsigned deadline_ms = 8000);
+// The same as another proxy sends it, for the server `instance_id`.
+std::string hop_head(const std::string& method, const std::string& instance_id);
 // One chunk with its frame.
 std::string chunk_of(std::size_t bytes);
 
--- a/tests/processes/hostile_clients_test.cpp
+++ b/tests/processes/hostile_clients_test.cpp
@@ -13,13 +13,24 @@
 
 // Of the configuration that the mesh gets (lab/soak_operator.cpp).
 constexpr std::size_t kMaxHeaderBytes = 16384, kMaxBodyBytes = 4 << 20;
+constexpr std::size_t kServerCapacity = 200;
+const std::string kChunkedBody = "Transfer-Encoding: chunked\r\n\r\n";
+
+MeshSettings with_answers_of(std::size_t bytes) {
+    MeshSettings settings;
+    settings.habits.capacity = kServerCapacity;
+    settings.habits.large = bytes > 0 ? 1 : 0;
+    settings.habits.large_bytes = bytes;
+    return settings;
+}
 
 using Address = tcp::endpoint (MeshUnderTest::*)() const;
-constexpr Address kOutbound = &MeshUnderTest::outbound, kInbound = &MeshUnderTest::inbound;
+constexpr Address kOutbound = &MeshUnderTest::outbound, kInbound = &MeshUnderTest::inbound,
+                  kControl = &MeshUnderTest::control;
 
 class HostileClients : public testing::Test {
 protected:
-    explicit HostileClients(std::size_t answer_bytes = 0) : mesh_(io_, answer_bytes) {}
+    explicit HostileClients(const MeshSettings& settings = with_answers_of(0)) : mesh_(io_, settings) {}
 
     void add(Address address, std::size_t clients, Behaviour behaviour) {
         waiting_.push_back({address, clients, std::move(behaviour)});
@@ -32,7 +43,7 @@
         });
         io_.run();
         EXPECT_TRUE(mesh_.all_alive()) << "a process has ended";
-        ASSERT_EQ(mesh_.peaks().size(), 2U);
+        ASSERT_EQ(mesh_.peaks().size(), 3U);
         for (const auto& [name, peak] : mesh_.peaks()) {
             std::printf("%s: at most %.1f MB of %zu, %zu descriptors of %zu\n", name.c_str(), peak.memory_mb,
                         kMemoryMb, peak.descriptors, kFileLimit);
@@ -60,6 +71,8 @@
         for (const auto& crowd : crowds) co_await crowd->run();
         const bool served = co_await mesh_.serves_ordinary_request();
         EXPECT_TRUE(served) << "no ordinary request was served beside the crowd";
+        const bool read = co_await mesh_.reads_configuration();
+        EXPECT_TRUE(read) << "the control node did not answer beside the crowd";
     }
 
     MeshUnderTest mesh_;
@@ -69,7 +82,7 @@
 class HostileReaders : public HostileClients {
 protected:
     static constexpr std::size_t kAnswerBytes = 2 << 20;
-    HostileReaders() : HostileClients(kAnswerBytes) {}
+    HostileReaders() : HostileClients(with_answers_of(kAnswerBytes)) {}
 };
 
 // Both proxies hold an answer whole until its client has read it.
@@ -128,6 +141,54 @@
     run();
 }
 
+// Fields behind the body are held as those of a head are.
+TEST_F(HostileClients, TrailersWithoutEndStayWithinTheMemory) {
+    const std::string start = kChunkedBody + "1\r\nx\r\n0\r\n";
+    add(kOutbound, 120, send_pieces(request_head("POST") + start, "a:\r\n", 1 << 20));
+    add(kInbound, 80, send_pieces(hop_head("POST", "i-1.1") + start, "a:\r\n", (1 << 20) - 400));
+    run();
+}
+// Whole requests whose trailers are fields without number.
+TEST_F(HostileClients, TrailersOfManyShortFieldsFromPeersStayWithinTheMemory) {
+    std::string fields;
+    for (std::size_t i = 0; i < 200'000; ++i) fields += "a:\r\n";
+    const std::string whole = hop_head("POST", "i-1.1") + kChunkedBody + "1\r\nx\r\n0\r\n" + fields + "\r\n";
+    add(kInbound, 40, send_pieces("", whole, whole.size()));
+    run();
+}
+
+TEST_F(HostileClients, ChunkExtensionsStayWithinTheMemory) {
+    const std::string chunk = "1;" + std::string(8000, 'e') + "\r\nx\r\n";
+    add(kOutbound, 120, send_pieces(request_head("POST") + kChunkedBody, chunk, 8 << 20));
+    add(kInbound, 80, send_pieces(hop_head("POST", "i-1.1") + kChunkedBody + "1;", "e", (1 << 20) - 400));
+    run();
+}
+
+class EndlessAnswers : public HostileClients {
+protected:
+    static MeshSettings settings() {
+        MeshSettings settings = with_answers_of(0);
+        settings.habits.endless_gets = true;
+        return settings;
+    }
+    EndlessAnswers() : HostileClients(settings()) {}
+};
+
+// Each is held up to the largest answer, by both proxies.
+TEST_F(EndlessAnswers, OfAServerStayWithinTheMemory) {
+    add(kOutbound, 60, read_slowly(io_));
+    run();
+}
+
+// The control node's own interface.
+TEST_F(HostileClients, CallsToAControlNodeStayWithinTheMemory) {
+    const std::string call = "PUT /api/config HTTP/1.1\r\nHost: control\r\nIf-Match: r1\r\n";
+    add(kControl, 60, send_pieces(call, "a:\r\n", kMaxHeaderBytes - 400));
+    add(kControl, 60, send_pieces(call + kChunkedBody, chunk_of(1 << 20), 3 << 20));
+    add(kControl, 60, send_pieces(call + kChunkedBody, chunk_of(16), 2 << 20));
+    run();
+}
+
 TEST_F(HostileReaders, AllOfThemTogetherStayWithinTheMemory) {
     add(kOutbound, 30, read_slowly(io_));
     add(kOutbound, 30, send_pieces(request_head("GET"), "a:\r\n", kMaxHeaderBytes - 400));
--- a/tests/processes/late_heartbeat_test.cpp
+++ b/tests/processes/late_heartbeat_test.cpp
@@ -66,7 +66,7 @@
 
     static constexpr const char* kPath = "/api/servers/i-late";
     asio::io_context io_{1};
-    MeshUnderTest mesh_{io_, 0};
+    MeshUnderTest mesh_{io_, MeshSettings{}};
     int calls_ = 0;
 };
 
--- a/tests/processes/mesh_under_test.cpp
+++ b/tests/processes/mesh_under_test.cpp
@@ -63,16 +63,16 @@
 
 }  // namespace
 
-MeshUnderTest::MeshUnderTest(asio::io_context& io, std::size_t answer_bytes)
+MeshUnderTest::MeshUnderTest(asio::io_context& io, const MeshSettings& settings)
     : io_(io),
       networks_(MeshNetworks::of_this_process()),
-      answer_bytes_(answer_bytes),
-      operator_(io, ledger_, random_, networks_.control_endpoints(1)) {
+      settings_(settings),
+      operator_(io, ledger_, random_, networks_.control_endpoints(1), settings.configuration) {
     constexpr double kLinkMbps = 1000;
     const std::string seeds = networks_.seed_nodes(1);
-    const ProxyLimits client_side{kLinkMbps, kMemoryMb, kFileLimit, "desk"};
-    const ProxyLimits server_side{kLinkMbps, kMemoryMb, kFileLimit, "goods"};
-    start(control_machine(networks_, 0, seeds, folder_));
+    const ProxyLimits client_side{kLinkMbps, settings.memory_mb, kFileLimit, "desk"};
+    const ProxyLimits server_side{kLinkMbps, settings.memory_mb, kFileLimit, "goods"};
+    start(control_machine(networks_, 0, seeds, folder_, settings.memory_mb));
     start(proxy_machine(networks_, kClientProxy, seeds, client_side));
     start(proxy_machine(networks_, kServerProxy, seeds, server_side));
 }
@@ -89,6 +89,24 @@
     return std::make_unique<Child>(io_, command, nullptr);
 }
 
+tcp::endpoint MeshUnderTest::server_side_outbound() const {
+    return {asio::ip::make_address(networks_.proxy_ip(kServerProxy)), kOutboundPort};
+}
+
+tcp::endpoint MeshUnderTest::control() const { return networks_.control_endpoints(1).front(); }
+
+awaitable<bool> MeshUnderTest::reads_configuration() {
+    const SteadyTime since = std::chrono::steady_clock::now();
+    while (ms_since(since) < kPatienceMs) {
+        const tcp::endpoint to = control();
+        const auto response =
+            co_await call_once(io_, to, HttpRequest(http::verb::get, "/api/config", 11), kCallPatience);
+        if (response && response->result() == http::status::ok) co_return true;
+        co_await pause(io_, kRetryAfterMs);
+    }
+    co_return false;
+}
+
 awaitable<bool> MeshUnderTest::restart_server_proxy() {
     Process& process = processes_.back();
     process.child.reset();
@@ -136,12 +154,8 @@
 }
 
 awaitable<bool> MeshUnderTest::start_server() {
-    SoakServerHabits habits;
-    habits.capacity = 200;
-    habits.large = answer_bytes_ > 0 ? 1 : 0;
-    habits.large_bytes = answer_bytes_;
-    start_soak_server(io_, {networks_.proxy_ip(kServerProxy), "goods", "i-1", kAppPort, kControlPort}, habits,
-                      ledger_, 1, stopped_);
+    start_soak_server(io_, {networks_.proxy_ip(kServerProxy), "goods", "i-1", kAppPort, kControlPort},
+                      settings_.habits, ledger_, 1, stopped_);
     co_await operator_.change_once();
     const bool serves = co_await serves_ordinary_request();
     co_return serves;
@@ -166,7 +180,6 @@
 }
 
 void MeshUnderTest::sample(const Process& process) {
-    if (process.machine.program != "cobaltshift-proxy") return;
     const pid_t pid = process.child->pid();
     Peak& peak = peaks_[process.machine.name];
     const double now_mb = status_mb(pid, "VmRSS") + unread_mb(process.machine.ip);
--- a/tests/processes/mesh_under_test.hpp
+++ b/tests/processes/mesh_under_test.hpp
@@ -21,6 +21,13 @@
 // The limits of each proxy, which are also the bounds of the tests.
 constexpr std::size_t kMemoryMb = 48, kFileLimit = 800;
 
+// What a mesh's processes and servers are given.
+struct MeshSettings {
+    std::size_t memory_mb = kMemoryMb;  // of each process
+    lab::SoakServerHabits habits = {};  // of the server that start_server() starts
+    lab::SoakConfigurationLimits configuration = {};
+};
+
 // The most that one process has held.
 struct Peak {
     double memory_mb = 0;  // resident, and received by the kernel but not read by the process
@@ -29,8 +36,7 @@
 
 class MeshUnderTest {
 public:
-    // `answer_bytes`: of the server's answers.
-    MeshUnderTest(asio::io_context& io, std::size_t answer_bytes);
+    MeshUnderTest(asio::io_context& io, const MeshSettings& settings);
     ~MeshUnderTest() { *stopped_ = true; }
 
     // Starts a server and waits until an ordinary request is served; false: that took too long.
@@ -46,12 +52,16 @@
     awaitable<unsigned> request_once();
     // Whether one ordinary request gets its answer; asked again until then, for a minute at most.
     awaitable<bool> serves_ordinary_request();
-    // Samples what the proxies hold until the mesh goes.
+    // Samples what the processes hold until the mesh goes.
     awaitable<void> watch();
+    // Whether the control node answers with the configuration; asked again until then, for a minute at most.
+    awaitable<bool> reads_configuration();
 
-    tcp::endpoint outbound() const;  // of the proxy beside the clients
-    tcp::endpoint inbound() const;   // of the proxy beside the server
-    tcp::endpoint server() const;    // where the application server listens
+    tcp::endpoint outbound() const;              // of the proxy beside the clients
+    tcp::endpoint inbound() const;               // of the proxy beside the server
+    tcp::endpoint server_side_outbound() const;  // of the same proxy
+    tcp::endpoint control() const;               // of the control node
+    tcp::endpoint server() const;                // where the application server listens
     bool all_alive();
     const std::map<std::string, Peak>& peaks() const { return peaks_; }
 
@@ -67,7 +77,7 @@
     asio::io_context& io_;
     const lab::Folder folder_;
     const lab::MeshNetworks networks_;
-    const std::size_t answer_bytes_;
+    const MeshSettings settings_;
     lab::SoakLedger ledger_;
     kelplb::Random random_{1};
     lab::SoakOperator operator_;
