Proxies: the largest request with the largest answer is served within the memory

Callers got 502 where one proxy held a body and an answer of 64 MiB for both of its sides. The body was held four times as long as needed: by the proxy beside the server until the answer was sent, by the caller's until the client had read it; and an answer that did not fit was read first and broken off afterwards.

Now a body is freed once it can't be sent again: beside the server when it is written, beside the client when a success has begun that has no room beside it (a try after a break of that answer is given up). Long answers are granted their bytes before they are read. One without room stays with its sender, in a line ordered by deadline; for the first in it clients that have been slow for 500 ms are released, the costliest first. Freed strings are swapped out: assigning an empty one keeps the memory, which an idle connection then held.

Requests are made as HeldRequest in the tests that make their own.

--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "module.hpp"
-#include "net/http.hpp"
+#include "net/held_request.hpp"
 
 namespace cobaltshift {
 
--- /dev/null
+++ b/src/net/held_request.hpp
@@ -0,0 +1,39 @@
+// A request that is held from its last byte until nobody needs it any more, with the charge for its memory.
+// Entry type: HeldRequest. Created by Listener; used by its front ends and by Upstream.
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "net/http.hpp"
+#include "net/memory_account.hpp"
+
+namespace cobaltshift {
+
+class HeldRequest : public HttpRequest {
+public:
+    using HttpRequest::HttpRequest;
+    // `memory`: of the process; null: what is held is not counted.
+    HeldRequest(HttpRequest message, MemoryAccount* memory)
+        : HttpRequest(std::move(message)), charge_(memory) {
+        charge_.set(body().size());
+    }
+
+    // Frees the body: the request is not sent again, or never whole. Its head stays.
+    void release_body() {
+        body_released_ = true;
+        charge_.set(charge_.bytes() - std::min(charge_.bytes(), body().size()));
+        free_memory(body());
+    }
+    bool body_released() const { return body_released_; }
+
+private:
+    MemoryAccount::Charge charge_;
+    bool body_released_ = false;
+};
+
+using RequestPtr = std::shared_ptr<HeldRequest>;
+
+}  // namespace cobaltshift
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -22,7 +22,6 @@
 
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
-using RequestPtr = std::shared_ptr<HttpRequest>;
 
 constexpr std::uint32_t kMaxHeader = 16 * 1024;
 constexpr std::uint64_t kMaxBody = 64 * 1024;
@@ -34,6 +33,9 @@
 // answers and their senders are known by them.
 constexpr const char* kEndToEndHeaders[] = {"Idempotency-Key", "X-Correlation-Id", "Request-Id", "Postmark"};
 
+// Frees a string's memory. Assigning an empty one would keep it.
+inline void free_memory(std::string& text) { std::string().swap(text); }
+
 // Removes the hop-by-hop headers and the headers named by Connection.
 template <class Fields>
 void strip_hop_by_hop(Fields& fields) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -34,18 +34,6 @@
     return http::status::bad_request;
 }
 
-// A request with the charge for its body, which is held until nobody needs the request any more.
-struct ChargedRequest {
-    HttpRequest message;
-    MemoryAccount::Charge charge;
-};
-RequestPtr with_charge(HttpRequest message, MemoryAccount* memory) {
-    const auto request =
-        std::make_shared<ChargedRequest>(ChargedRequest{std::move(message), MemoryAccount::Charge(memory)});
-    request->charge.set(request->message.body().size());
-    return {request, &request->message};
-}
-
 }  // namespace
 
 // One client connection: it repeats idle, reading a request, waiting for its answer and writing the answer
@@ -99,10 +87,10 @@
 
     // What keeping this connection costs (see MemoryAccount), if it can be released: its client has yet to
     // send or to read something.
-    std::optional<double> memory_cost(Millis now) const {
+    std::optional<double> memory_cost(Millis now, Millis min_age) const {
         const bool client_is_due = state_ == State::reading || state_ == State::writing ||
                                    state_ == State::lingering || leaves_input_unread_;
-        if (!client_is_due || state_ == State::closed) return {};
+        if (!client_is_due || state_ == State::closed || now - busy_since_ < min_age) return {};
         return static_cast<double>(charge_.bytes()) * (now - busy_since_ + 1);
     }
     void release_memory() {
@@ -292,8 +280,10 @@
 
     void dispatch() {
         const bool chunked = parser_->chunked();
-        const RequestPtr request = with_charge(parser_->release(), owner_.memory_);
+        HttpRequest message = parser_->release();
         parser_.reset();
+        charge_held();  // the request has a charge of its own from here on
+        const auto request = std::make_shared<HeldRequest>(std::move(message), owner_.memory_);
         keep_ = request->keep_alive();
         is_new_ = false;
         if (auto response = owner_.front_.local(*request)) return write(std::move(*response), keep_);
@@ -371,6 +361,7 @@
     }
     void written(error_code ec, bool keep) {
         if (state_ != State::writing) return;
+        free_memory(response_.body());
         response_ = {};
         answer_bytes_ = 0;
         paced_write_ = 0;
@@ -520,11 +511,11 @@
     return !memory_ || bytes <= kShortBodyBytes || memory_->has_room(bytes);
 }
 
-std::shared_ptr<Listener::Session> Listener::costliest_session(Millis now) const {
+std::shared_ptr<Listener::Session> Listener::costliest_session(Millis now, Millis min_age) const {
     std::shared_ptr<Session> costliest;
     double highest = 0;
     for (const auto& session : sessions_) {
-        const auto cost = session->memory_cost(now);
+        const auto cost = session->memory_cost(now, min_age);
         if (!cost || (costliest && *cost <= highest)) continue;
         costliest = session;
         highest = *cost;
@@ -532,13 +523,13 @@
     return costliest;
 }
 
-std::optional<double> Listener::highest_cost(Millis now) const {
-    const auto session = costliest_session(now);
-    return session ? session->memory_cost(now) : std::nullopt;
+std::optional<double> Listener::highest_cost(Millis now, Millis min_age) const {
+    const auto session = costliest_session(now, min_age);
+    return session ? session->memory_cost(now, min_age) : std::nullopt;
 }
 
-void Listener::release_costliest(Millis now) {
-    if (const auto session = costliest_session(now)) session->release_memory();
+void Listener::release_costliest(Millis now, Millis min_age) {
+    if (const auto session = costliest_session(now, min_age)) session->release_memory();
 }
 
 void Listener::add_session(tcp::socket socket) {
--- a/src/net/memory_account.cpp
+++ b/src/net/memory_account.cpp
@@ -9,6 +9,11 @@
 namespace {
 constexpr double kClientShare = 0.56;
 constexpr int kLargeBlockBytes = 256 * 1024;
+// The part of the limit that is not granted to long answers: what is charged without asking needs it.
+constexpr std::size_t kUngrantedPart = 16;
+// A client that still has something to send or to read after this time may lose it to those that wait.
+constexpr Millis kSlowAfterMs = 500;
+constexpr std::chrono::milliseconds kLineInterval{50};
 }  // namespace
 
 std::size_t memory_for_clients(std::size_t memory_mb) {
@@ -22,7 +27,9 @@
 }
 
 MemoryAccount::MemoryAccount(asio::io_context& io, const Clock& clock, std::size_t limit)
-    : io_(io), clock_(clock), limit_(limit), sum_(std::make_shared<Sum>(Sum{0, this})) {}
+    : io_(io), clock_(clock), limit_(limit), sum_(std::make_shared<Sum>(Sum{0, this})), line_timer_(io) {}
+
+std::size_t MemoryAccount::grantable() const { return limit_ - limit_ / kUngrantedPart; }
 
 void MemoryAccount::schedule_release() {
     release_scheduled_ = true;
@@ -32,21 +39,66 @@
 }
 
 void MemoryAccount::release() {
+    while (sum_->held > limit_ && release_one(0)) {
+    }
+    release_scheduled_ = false;
+}
+
+// Releases the costliest charge of at least that age; false: there is none.
+bool MemoryAccount::release_one(Millis min_age) {
     const Millis now = clock_.now();
-    while (sum_->held > limit_) {
-        Holder* costliest = nullptr;
-        double highest = 0;
-        for (Holder* holder : holders_) {
-            const auto cost = holder->highest_cost(now);
-            if (!cost || (costliest && *cost <= highest)) continue;
-            costliest = holder;
-            highest = *cost;
+    Holder* costliest = nullptr;
+    double highest = 0;
+    for (Holder* holder : holders_) {
+        const auto cost = holder->highest_cost(now, min_age);
+        if (!cost || (costliest && *cost <= highest)) continue;
+        costliest = holder;
+        highest = *cost;
+    }
+    if (!costliest) return false;
+    costliest->release_costliest(now, min_age);
+    ++released_;
+    return true;
+}
+
+// ---- The line ---------------------------------------------------------------------------------------------
+
+MemoryAccount::Place MemoryAccount::wait_for_room(std::size_t bytes, Millis until,
+                                                  std::function<void()> on_room) {
+    const Place place{until, next_place_++};
+    line_.emplace(place, Waiting{bytes, std::move(on_room)});
+    if (!line_scheduled_) schedule_line();
+    return place;
+}
+
+void MemoryAccount::schedule_line() {
+    line_scheduled_ = true;
+    asio::post(io_, [sum = sum_] {
+        if (sum->account) sum->account->advance_line();
+    });
+}
+
+void MemoryAccount::advance_line() {
+    while (!line_.empty()) {
+        const auto first = line_.begin();
+        if (!has_room_to_grant(first->second.bytes)) {
+            if (!release_one(kSlowAfterMs)) break;
+            continue;  // whose charge it was may have left the line too
         }
-        if (!costliest) break;
-        costliest->release_costliest(now);
-        ++released_;
+        const auto on_room = std::move(first->second.on_room);
+        line_.erase(first);
+        on_room();
     }
-    release_scheduled_ = false;
+    line_scheduled_ = false;
+    if (!line_.empty()) start_line_timer();
+}
+
+// Clients become slow by the passing of time alone.
+void MemoryAccount::start_line_timer() {
+    line_timer_.expires_after(kLineInterval);
+    line_timer_.async_wait([sum = sum_](error_code ec) {
+        if (!ec && sum->account && !sum->account->line_scheduled_) sum->account->schedule_line();
+    });
 }
 
 }  // namespace cobaltshift
--- a/src/net/memory_account.hpp
+++ b/src/net/memory_account.hpp
@@ -7,11 +7,18 @@
 // loop, until it is not. A charge's cost is its bytes times its age: clients that send or read slowly are
 // released before those that hold much for a moment.
 //
+// Long answers are granted their bytes before they are read: one that has no room waits in line, and stays
+// with its sender meanwhile. The one with the earliest deadline is first. While it waits, the costliest of
+// the charges whose clients have been slow for a while are released for it.
+//
 // Not thread-safe: runs on the io_context's thread. Holders must not outlive their account; charges may, as
 // handlers that never ran are destroyed with the io_context.
 #pragma once
 
+#include <compare>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -28,11 +35,11 @@
     class Holder {
     public:
         virtual ~Holder() = default;
-        // The highest cost among the charges that this holder can release, in bytes times milliseconds; none
-        // if it can release nothing.
-        virtual std::optional<double> highest_cost(Millis now) const = 0;
+        // The highest cost among the charges of at least the age `min_age` (ms) that this holder can release,
+        // in bytes times milliseconds; none if there are none.
+        virtual std::optional<double> highest_cost(Millis now, Millis min_age) const = 0;
         // Releases the charge with that cost.
-        virtual void release_costliest(Millis now) = 0;
+        virtual void release_costliest(Millis now, Millis min_age) = 0;
     };
 
     class Charge;
@@ -48,6 +55,24 @@
     // Whether so many bytes more would keep within the limit.
     bool has_room(std::size_t bytes) const { return sum_->held + bytes <= limit_; }
 
+    // A place in the line of those that wait for room.
+    struct Place {
+        Millis until = 0;  // deadline
+        std::uint64_t number = 0;
+        auto operator<=>(const Place&) const = default;
+    };
+    // Whether so many bytes can be granted beside what is held, if nobody else waits for them. A part of the
+    // limit is left to what is charged without asking.
+    bool has_room_to_grant(std::size_t bytes) const { return sum_->held + bytes <= grantable(); }
+    // Whether so many bytes may be charged now, before those that wait in line.
+    bool may_take(std::size_t bytes) const { return line_.empty() && has_room_to_grant(bytes); }
+    // Whether so many bytes can be granted at all.
+    bool can_ever_take(std::size_t bytes) const { return bytes <= grantable(); }
+    // Calls `on_room` from the event loop once so many bytes may be charged, which it does at once.
+    Place wait_for_room(std::size_t bytes, Millis until, std::function<void()> on_room);
+    void leave_line(const Place& place) { line_.erase(place); }
+    std::size_t waiting() const { return line_.size(); }
+
     std::size_t limit() const { return limit_; }
     std::size_t held() const { return sum_->held; }
     std::uint64_t released() const { return released_; }  // charges that were released, since the start
@@ -58,11 +83,23 @@
         std::size_t held = 0;
         MemoryAccount* account;  // null: it is gone
     };
+    struct Waiting {
+        std::size_t bytes;
+        std::function<void()> on_room;
+    };
     void on_increase() {
         if (sum_->held > limit_ && !release_scheduled_) schedule_release();
     }
+    void on_decrease() {
+        if (!line_.empty() && !line_scheduled_) schedule_line();
+    }
+    std::size_t grantable() const;
     void schedule_release();
     void release();
+    bool release_one(Millis min_age);
+    void schedule_line();
+    void advance_line();
+    void start_line_timer();
 
     asio::io_context& io_;
     const Clock& clock_;
@@ -70,7 +107,11 @@
     const std::shared_ptr<Sum> sum_;
     std::uint64_t released_ = 0;
     bool release_scheduled_ = false;
+    bool line_scheduled_ = false;
     std::vector<Holder*> holders_;
+    std::map<Place, Waiting> line_;
+    std::uint64_t next_place_ = 1;
+    asio::steady_timer line_timer_;
 };
 
 // Bytes held by one owner, until they are set anew or the owner goes. Without an account: not counted.
@@ -86,6 +127,7 @@
         if (!sum_) return;
         sum_->held += bytes - before;
         if (bytes > before && sum_->account) sum_->account->on_increase();
+        if (bytes < before && sum_->account) sum_->account->on_decrease();
     }
     std::size_t bytes() const { return bytes_; }
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -104,7 +104,7 @@
         return dialect_.classify(*message, request_context);
     }
     bool may_send(const RequestPtr& message, RequestContext& request_context, const std::string& server) {
-        return dialect_.may_send(*message, request_context, server);
+        return !message->body_released() && dialect_.may_send(*message, request_context, server);
     }
     AttemptResult read(Outcome outcome, const Response* response, RequestContext& request_context) {
         return dialect_.read(outcome, response, request_context);
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -17,6 +17,8 @@
 // Unread data in the kernel counts towards the process's memory, and an endless answer fills that buffer at
 // once.
 constexpr int kReceiveBufferBytes = 64 * 1024;
+// An answer of up to this many bytes is read without waiting for room.
+constexpr std::size_t kShortAnswerBytes = 64 * 1024;
 constexpr std::size_t kConnectionBytes = 8 * 1024;  // charged for a connection and input that has just come
 
 // The timeout in the server's Keep-Alive header (RFC 2068 19.7.1), in ms; 0: none given.
@@ -81,7 +83,7 @@
 }
 
 void Upstream::probe(ServerId server, const tcp::endpoint& to) {
-    auto request = std::make_shared<HttpRequest>(http::verb::get, protocol_.probe_path, 11);
+    auto request = std::make_shared<HeldRequest>(http::verb::get, protocol_.probe_path, 11);
     request->set(http::field::host, to.address().to_string());
     pool_.probe(server, to, std::move(request));
 }
@@ -157,7 +159,10 @@
     channel.output_written += bytes;
     if (ec) return pool_.write_failed(connection, channel.output_written > 0);
     const auto unwritten = channel.unwritten();
-    if (asio::buffer_size(unwritten) == 0) return pool_.written(connection);
+    if (asio::buffer_size(unwritten) == 0) {
+        if (protocol_.writes_requests_once) channel.output_message->release_body();
+        return pool_.written(connection);
+    }
     // The operation keeps the message: the attempt may end before the operation does.
     channel.socket.async_write_some(
         unwritten, [this, connection, message = channel.output_message](error_code error, std::size_t n) {
@@ -172,6 +177,8 @@
     channel.parser->body_limit(protocol_.body_bytes);
     channel.parser->eager(false);
     channel.head_bytes = 0;
+    channel.head_seen = false;
+    channel.granted_bytes = 0;
     channel.output_message.reset();
     parse(connection);
 }
@@ -179,7 +186,8 @@
 void Upstream::charge_held(Channel& channel) {
     std::size_t bytes = kConnectionBytes + channel.input.capacity();
     // While an answer arrives, the kernel may hold more of it.
-    if (channel.parser) bytes += channel.parser->get().body().size() + kReceiveBufferBytes;
+    if (channel.parser)
+        bytes += std::max(channel.granted_bytes, channel.parser->get().body().size()) + kReceiveBufferBytes;
     channel.charge.set(bytes);
 }
 
@@ -196,19 +204,79 @@
 }
 
 // Servers send as fast as they are read, so that an answer's age costs nothing: clients that are slow go
-// first.
-std::optional<double> Upstream::highest_cost(Millis) const {
+// first, and they alone for an answer that waits for room.
+std::optional<double> Upstream::highest_cost(Millis, Millis min_age) const {
+    if (min_age > 0) return {};
     const ConnectionPtr newest = newest_answer();
     return newest ? std::optional(static_cast<double>(newest->channel.charge.bytes())) : std::nullopt;
 }
 
-void Upstream::release_costliest(Millis) {
+void Upstream::release_costliest(Millis, Millis) {
     const ConnectionPtr connection = newest_answer();
     if (!connection) return;
     log_line("upstream.answer_dropped", "the process holds too much memory: a server's answer is broken off");
     pool_.broken(connection);
 }
 
+// Whether the answer whose head has come may be read now. If not, it waits for room or has been broken off.
+bool Upstream::may_read_answer(const ConnectionPtr& connection) {
+    const Channel& channel = connection->channel;
+    const auto length = static_cast<std::size_t>(channel.parser->content_length().value_or(0));
+    if (!memory_ || length <= kShortAnswerBytes || connection->job->probe) return true;
+    make_room(connection, length);
+    if (memory_->may_take(length)) {
+        grant(connection, length);
+        return true;
+    }
+    if (memory_->can_ever_take(length))
+        wait_for_room(connection, length);
+    else
+        pool_.broken(connection);
+    return false;
+}
+
+void Upstream::grant(const ConnectionPtr& connection, std::size_t length) {
+    connection->channel.granted_bytes = length;
+    charge_held(connection->channel);
+}
+
+// The answer stays with its sender, whose bytes are not read: the kernel holds back more of them.
+void Upstream::wait_for_room(const ConnectionPtr& connection, std::size_t length) {
+    charge_held(connection->channel);
+    connection->channel.in_line =
+        memory_->wait_for_room(length, connection->job->until, [this, connection, length] {
+            connection->channel.in_line.reset();
+            grant(connection, length);
+            parse_contained(connection);
+        });
+}
+
+void Upstream::leave_line(Channel& channel) {
+    if (channel.in_line) memory_->leave_line(*channel.in_line);
+    channel.in_line.reset();
+}
+
+// A success is passed on once it is whole, and its request is not sent again. Where the rest of the answer
+// has no room beside the request's body, that body is freed: a try after a break of the answer is given up.
+void Upstream::make_room(const ConnectionPtr& connection, std::size_t length) {
+    const auto& parser = *connection->channel.parser;
+    const RequestPtr& request = connection->job->request;
+    if (memory_->has_room_to_grant(length) || is_to_be_written(request)) return;
+    if (protocol_.outcome_of(parser.get()) == Outcome::completed &&
+        owner_of(*connection, parser.get()) == exchange::AnswerOwner::this_request)
+        request->release_body();
+}
+
+// Whether an attempt has yet to write this request.
+bool Upstream::is_to_be_written(const RequestPtr& request) const {
+    bool found = false;
+    pool_.for_each_attempt([&](const ConnectionPtr& connection) {
+        found = found || (connection->job->request == request &&
+                          connection->state != exchange::ConnectionState::reading);
+    });
+    return found;
+}
+
 void Upstream::parse(const ConnectionPtr& connection) {
     Channel& channel = connection->channel;
     while (!channel.parser->is_done()) {
@@ -219,6 +287,9 @@
         }
         // An answer delimited by the end of the connection may have been truncated.
         if (ec || channel.parser->need_eof()) return pool_.broken(connection);
+        if (channel.parser->is_header_done() && !std::exchange(channel.head_seen, true) &&
+            !may_read_answer(connection))
+            return;
     }
     const unsigned status = channel.parser->get().result_int();
     if (status / 100 == 1) {
@@ -236,19 +307,23 @@
 
 void Upstream::receive(const ConnectionPtr& connection) {
     Channel& channel = connection->channel;
-    channel.socket.async_read_some(channel.input.prepare(kReadBytes), [this, connection](error_code ec,
-                                                                                         std::size_t bytes) {
-        if (connection->state != exchange::ConnectionState::reading) return;
-        if (ec) return pool_.broken(connection);
-        try {
-            connection->channel.input.commit(bytes);
-            parse(connection);
-        } catch (const std::exception& error) {
-            // Contained to this connection: an error must not affect the others.
-            log_line("upstream.failed", std::string("processing a server's answer failed: ") + error.what());
-            if (connection->job) pool_.broken(connection);
-        }
-    });
+    channel.socket.async_read_some(channel.input.prepare(kReadBytes),
+                                   [this, connection](error_code ec, std::size_t bytes) {
+                                       if (connection->state != exchange::ConnectionState::reading) return;
+                                       if (ec) return pool_.broken(connection);
+                                       connection->channel.input.commit(bytes);
+                                       parse_contained(connection);
+                                   });
+}
+
+// An error must not affect the other connections.
+void Upstream::parse_contained(const ConnectionPtr& connection) {
+    try {
+        parse(connection);
+    } catch (const std::exception& error) {
+        log_line("upstream.failed", std::string("processing a server's answer failed: ") + error.what());
+        if (connection->job) pool_.broken(connection);
+    }
 }
 
 bool Upstream::is_reusable(Connection& connection) {
@@ -268,7 +343,7 @@
 
 void Upstream::watch_idle(const ConnectionPtr& connection) {
     Channel& channel = connection->channel;
-    if (channel.output_head.capacity() > kReadBytes) channel.output_head = std::string();
+    if (channel.output_head.capacity() > kReadBytes) free_memory(channel.output_head);
     channel.interim_responses = 0;
     if (channel.input.capacity() > kReadBytes) channel.input.shrink_to_fit();
     channel.socket.async_wait(tcp::socket::wait_read,
@@ -278,6 +353,7 @@
 void Upstream::close(Connection& connection) {
     error_code ignored;
     connection.channel.socket.close(ignored);
+    leave_line(connection.channel);
     connection.channel.charge.set(0);
 }
 
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -13,6 +13,7 @@
 
 #include "exchange/connection_pool.hpp"
 #include "net/clock.hpp"
+#include "net/held_request.hpp"
 #include "net/http.hpp"
 #include "net/memory_account.hpp"
 
@@ -32,6 +33,8 @@
     std::function<bool(const HttpResponse&)> is_refusal;
     // Whether a server begins a request only once it has its last byte.
     bool runs_whole_requests_only = true;
+    // Whether no request is sent again after it was written: its body is then freed.
+    bool writes_requests_once = false;
     std::uint64_t body_bytes = kMaxBody;  // limit for one answer; a longer one counts as broken
     std::string probe_path = "/healthz";
     // Whether the timeout in a server's Keep-Alive header bounds how long an idle connection is kept.
@@ -116,12 +119,19 @@
     }
 
     void charge_held(Channel& channel);
+    bool may_read_answer(const ConnectionPtr& connection);
+    void make_room(const ConnectionPtr& connection, std::size_t length);
+    void grant(const ConnectionPtr& connection, std::size_t length);
+    void wait_for_room(const ConnectionPtr& connection, std::size_t length);
+    void leave_line(Channel& channel);
+    bool is_to_be_written(const RequestPtr& request) const;
     ConnectionPtr newest_answer() const;  // the connection on which it arrives; null: none
-    std::optional<double> highest_cost(Millis now) const override;
-    void release_costliest(Millis now) override;
+    std::optional<double> highest_cost(Millis now, Millis min_age) const override;
+    void release_costliest(Millis now, Millis min_age) override;
 
     void wrote(const ConnectionPtr& connection, error_code ec, std::size_t bytes);
     void parse(const ConnectionPtr& connection);
+    void parse_contained(const ConnectionPtr& connection);
     void receive(const ConnectionPtr& connection);
 
     asio::io_context& io_;
@@ -147,7 +157,10 @@
     std::size_t output_written = 0;
     beast::flat_buffer input;
     std::size_t head_bytes = 0;
-    int interim_responses = 0;  // 1xx responses to the current request
+    bool head_seen = false;                       // of the answer that arrives
+    std::size_t granted_bytes = 0;                // of that answer
+    std::optional<MemoryAccount::Place> in_line;  // waits for its bytes to be granted
+    int interim_responses = 0;                    // 1xx responses to the current request
     std::optional<http::response_parser<http::string_body>> parser;
 };
 
--- a/src/proxy/inbound.cpp
+++ b/src/proxy/inbound.cpp
@@ -35,6 +35,7 @@
     m.owner_of = owner_of_answer;
     m.is_refusal = is_refusal;
     m.runs_whole_requests_only = false;
+    m.writes_requests_once = true;
     m.body_bytes = kMaxBodyBytes;
     m.honors_keep_alive = true;
     return m;
--- a/tests/mesh/hop_test.cpp
+++ b/tests/mesh/hop_test.cpp
@@ -347,7 +347,7 @@
     }
     static RequestPtr a_request(const std::string& id, const std::string& instance_id = "i-0",
                                 const std::string& deadline = "2500") {
-        auto request = std::make_shared<HttpRequest>(http::verb::post, "/x", 11);
+        auto request = std::make_shared<HeldRequest>(http::verb::post, "/x", 11);
         request->set(kRequestId, id);
         request->set(kDeadline, deadline);
         request->set(kCaller, "till");
--- a/tests/mesh/incident_refused_test.cpp
+++ b/tests/mesh/incident_refused_test.cpp
@@ -42,7 +42,7 @@
     }
     // The answer to a once-only request, when it has come.
     HttpResponse answer_to(const std::string& id, const std::string& body = "") {
-        auto request = std::make_shared<HttpRequest>(http::verb::post, "/x", 11);
+        auto request = std::make_shared<HeldRequest>(http::verb::post, "/x", 11);
         request->set(kRequestId, id);
         request->set(kDeadline, "2500");
         request->set(kCaller, "till");
--- a/tests/mesh/memory_account_test.cpp
+++ b/tests/mesh/memory_account_test.cpp
@@ -20,13 +20,14 @@
         held_.erase(name);
         held_.emplace(name, Held{MemoryAccount::Charge(&account_), age}).first->second.charge.set(bytes);
     }
-    std::optional<double> highest_cost(Millis) const override {
+    std::optional<double> highest_cost(Millis, Millis min_age) const override {
         std::optional<double> highest;
-        for (const auto& [name, held] : held_) highest = std::max(highest.value_or(0), cost(held));
+        for (const auto& [name, held] : held_)
+            if (held.age >= min_age) highest = std::max(highest.value_or(0), cost(held));
         return highest;
     }
-    void release_costliest(Millis now) override {
-        const double highest = *highest_cost(now);
+    void release_costliest(Millis now, Millis min_age) override {
+        const double highest = *highest_cost(now, min_age);
         std::erase_if(held_, [&](const auto& one) {
             if (cost(one.second) < highest) return false;
             released.push_back(one.first);
@@ -112,3 +113,76 @@
     charge.set(1);
     CHECK(charge.bytes() == 1);
 }
+
+namespace {
+// Takes `bytes` as soon as they are granted.
+struct Waiter {
+    explicit Waiter(MemoryAccount& account) : charge(&account) {}
+    MemoryAccount::Place wait(MemoryAccount& account, std::size_t bytes, Millis until) {
+        return account.wait_for_room(bytes, until, [this, bytes] {
+            granted = true;
+            charge.set(bytes);
+        });
+    }
+    MemoryAccount::Charge charge;
+    bool granted = false;
+};
+constexpr std::size_t kGrantable = kLimit - kLimit / 16;
+}  // namespace
+
+// Guards against answers that are fetched only to be dropped again (issue 69).
+TEST_CASE("memory account: bytes are granted in the order of the deadlines, once there is room for them") {
+    Fixture fixture;
+    MemoryAccount::Charge held(&fixture.account);
+    held.set(kGrantable - 100);
+    CHECK(fixture.account.may_take(100));
+    CHECK_FALSE(fixture.account.may_take(101));
+    Waiter late(fixture.account), early(fixture.account);
+    late.wait(fixture.account, 100, 20);
+    early.wait(fixture.account, 200, 10);
+    CHECK_FALSE(fixture.account.may_take(1));  // nobody passes those that wait
+    fixture.io.run_for(std::chrono::milliseconds(5));
+    CHECK_FALSE(early.granted);
+    CHECK_FALSE(late.granted);
+    held.set(kGrantable - 200);
+    fixture.io.run_for(std::chrono::milliseconds(5));
+    CHECK(early.granted);
+    CHECK_FALSE(late.granted);
+    early.charge.set(0);
+    fixture.io.run_for(std::chrono::milliseconds(5));
+    CHECK(late.granted);
+    CHECK(fixture.account.waiting() == 0);
+}
+
+TEST_CASE("memory account: slow clients alone are released for those that wait, the costliest first") {
+    Fixture fixture;
+    FakeHolder clients(fixture.account);
+    clients.hold(1, 400, 1000);
+    clients.hold(2, 300, 1000);
+    clients.hold(3, 200, 10);  // costs least, and is not slow
+    Waiter waiter(fixture.account);
+    waiter.wait(fixture.account, 200, 10);
+    fixture.io.run_for(std::chrono::milliseconds(5));
+    CHECK(clients.released == std::vector<int>{1});
+    CHECK(waiter.granted);
+    Waiter other(fixture.account);
+    other.wait(fixture.account, kGrantable - 100, 10);
+    fixture.io.restart();
+    fixture.io.run_for(std::chrono::milliseconds(5));
+    CHECK(clients.released == std::vector<int>{1, 2});
+    CHECK_FALSE(other.granted);
+}
+
+TEST_CASE("memory account: who leaves the line is not granted anything, and holds nobody up") {
+    Fixture fixture;
+    MemoryAccount::Charge held(&fixture.account);
+    held.set(kGrantable - 100);
+    Waiter first(fixture.account), second(fixture.account);
+    const auto place = first.wait(fixture.account, 500, 10);
+    second.wait(fixture.account, 50, 20);
+    fixture.account.leave_line(place);
+    fixture.io.run_for(std::chrono::milliseconds(5));
+    CHECK_FALSE(first.granted);
+    CHECK(second.granted);
+    CHECK_FALSE(fixture.account.can_ever_take(kGrantable + 1));
+}
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -287,7 +287,7 @@
         {[&](AttemptKey, Outcome outcome, HttpResponse*) { outcomes.push_back(outcome), io.stop(); },
          [](ServerId, Outcome, Millis) {}});
     auto request =
-        std::make_shared<HttpRequest>(http::verb::post, "/deposit", 11, std::string(64 << 20, 'x'));
+        std::make_shared<HeldRequest>(http::verb::post, "/deposit", 11, std::string(64 << 20, 'x'));
     request->prepare_payload();
     upstream.send({1, 0}, 1, server.at, request, clock.now() + 60000);
     io.run_for(kPatience);
@@ -446,7 +446,7 @@
             [](ServerId, Outcome, Millis) {}};
     }
     void send(ServerId server, const std::string& to) {
-        auto request = std::make_shared<HttpRequest>(http::verb::post, "/deposit", 11, "x");
+        auto request = std::make_shared<HeldRequest>(http::verb::post, "/deposit", 11, "x");
         request->prepare_payload();
         const auto colon = to.rfind(':');
         upstream.send({++last, 0}, server,
