Listener: trailers are bounded before they are parsed, and a request's fields are charged

A peer's chunked requests with a block of short trailer lines took the proxy beside the server to 330.8 MB of 48. The parser takes such a block at once, when it is whole, and makes a field of some 80 bytes of each line of four; the block could be as long as the largest head, 1 MiB between proxies, and nothing charged the fields once the request was dispatched.

Trailers, and a chunk's size with its extension, get 16 KiB, which is what a client's whole head gets by default. A head between proxies may be as long as the configuration allows clients, and 16 KiB more; it may have 100 fields where clients have 90 (both: 431). The fields of a request are charged as long as it is held.

--- a/src/net/held_request.hpp
+++ b/src/net/held_request.hpp
@@ -12,13 +12,24 @@
 
 namespace cobaltshift {
 
+// Bytes that the allocator hands out for one header field beside its name and value.
+constexpr std::size_t kFieldOverheadBytes = 80;
+
+// The memory that a message's header fields take, in bytes.
+inline std::size_t bytes_held_by_fields(const http::fields& fields) {
+    std::size_t bytes = 0;
+    for (const auto& field : fields)
+        bytes += kFieldOverheadBytes + field.name_string().size() + field.value().size();
+    return bytes;
+}
+
 class HeldRequest : public HttpRequest {
 public:
     using HttpRequest::HttpRequest;
     // `memory`: of the process; null: what is held is not counted.
     HeldRequest(HttpRequest message, MemoryAccount* memory)
         : HttpRequest(std::move(message)), charge_(memory) {
-        charge_.set(body().size());
+        if (memory) charge_.set(bytes_held_by_fields(*this) + body().size());
     }
 
     // Frees the body: the request is not sent again, or never whole. Its head stays.
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -28,6 +28,8 @@
 // Servers commonly accept 100 header fields and drop the connection if there are more. The client learns no
 // reason from that and would retry forever. The difference is room for the fields that are added on the way.
 constexpr std::ptrdiff_t kMaxFields = 90;
+// Of the fields behind a chunked body, and of one chunk's size with its extension.
+constexpr std::size_t kMaxTrailerBytes = kMaxHeader;
 
 // Headers that identify a request or stamp an answer: a Connection header can't remove them, as repeats,
 // answers and their senders are known by them.
@@ -60,7 +62,8 @@
 // Feeds the received bytes to a parser that is not eager; need_more once they are consumed. `head_bytes`
 // counts the bytes of the head over all calls for one message. The limit on the head is enforced here because
 // the parser consumes complete lines as they arrive and checks its own limit only against the unconsumed
-// rest, so an endless head sent in complete lines would be stored without bound.
+// rest, so an endless head sent in complete lines would be stored without bound. Trailers are consumed at
+// once when they are whole.
 template <class Parser>
 error_code parse_received(Parser& parser, beast::flat_buffer& in, std::size_t& head_bytes,
                           std::size_t max_head = kMaxHeader) {
@@ -76,9 +79,9 @@
     }
     in.consume(consumed);
     if (in_head) head_bytes += consumed;
-    const bool head_too_long =
-        ec == http::error::need_more && in.size() + (in_head ? head_bytes : 0) >= max_head;
-    if (head_too_long || head_bytes > max_head) return http::error::header_limit;
+    const bool too_long =
+        in_head ? in.size() + head_bytes >= max_head : in.size() >= std::min(max_head, kMaxTrailerBytes);
+    if ((ec == http::error::need_more && too_long) || head_bytes > max_head) return http::error::header_limit;
     return ec;
 }
 
--- a/src/proxy/inbound.cpp
+++ b/src/proxy/inbound.cpp
@@ -19,6 +19,9 @@
 constexpr double kUrgentAfterTargets = 1.5;
 constexpr Millis kUrgentBeforeDeadlineMs = 1000;
 constexpr std::uint64_t kMaxBodyBytes = 64 << 20;
+// Room in a head for what proxies add to a client's.
+constexpr std::size_t kProxyHeaderBytes = 16 * 1024;
+constexpr std::ptrdiff_t kMaxHopFields = kMaxFields + 10;
 
 Millis urgent_at(Millis arrived_at, const Hop& hop, Millis deadline) {
     return std::min(arrived_at + kUrgentAfterTargets * hop.target_ms, deadline - kUrgentBeforeDeadlineMs);
@@ -104,7 +107,8 @@
 
 Front::Bounds Inbound::bounds() const {
     Bounds b;
-    b.header = (1 << 20) + kMaxHeader;  // the most that Outbound accepts, and the fields that proxies add
+    const std::size_t of_clients = callbacks_.max_header_bytes ? callbacks_.max_header_bytes() : kMaxHeader;
+    b.header = of_clients + kProxyHeaderBytes;
     b.body = kMaxBodyBytes;
     b.head_time = kHeadTimeoutMs, b.read_time = kReadTimeoutMs, b.idle_time = kIdleTimeoutMs;
     return b;
@@ -112,6 +116,8 @@
 
 std::optional<http::status> Inbound::fault(const HttpRequest& head) {
     if (const auto fault = framing_fault(head)) return fault;
+    if (std::distance(head.begin(), head.end()) > kMaxHopFields)
+        return http::status::request_header_fields_too_large;
     // Only proxies may send requests to the server: anything without a proxy's fields is rejected.
     if (head.count(kHop) != 1 || !parse_hop(head[kHop]) || head.count(kInstance) != 1 ||
         head.count(kRequestId) != 1 || head.count(kCaller) != 1 || !parse_ms(head[kDeadline]))
--- a/src/proxy/inbound.hpp
+++ b/src/proxy/inbound.hpp
@@ -25,6 +25,8 @@
     struct Callbacks {
         std::function<std::uint64_t()> edition;
         std::function<void(std::uint64_t edition)> on_newer_edition;  // a caller has a newer configuration
+        // The bytes of a head that the configuration allows clients; empty: the default.
+        std::function<std::size_t()> max_header_bytes = {};
     };
     // `link`: the machine's network link, over which answers leave; null if its rate is unknown. `memory`:
     // see Upstream.
--- a/src/proxy/outbound.cpp
+++ b/src/proxy/outbound.cpp
@@ -195,7 +195,7 @@
     b.read_time = kBodyTimeoutMs;
     if (!configuration_) return b;
     const config::Limits& limits = configuration_->limits;
-    b.header = std::clamp<std::size_t>(limits.max_header_bytes, 1024, 1 << 20);
+    b.header = max_header_bytes();
     b.body = std::min<std::uint64_t>(limits.max_body_bytes, kMaxBodyBytes);
     b.head_time = std::max(100.0, limits.header_read_ms);
     b.read_time = b.head_time + kBodyTimeoutMs;
@@ -203,6 +203,12 @@
     return b;
 }
 
+std::size_t Outbound::max_header_bytes() const {
+    constexpr std::size_t kLeast = 1024, kMost = 1 << 20;
+    return configuration_ ? std::clamp<std::size_t>(configuration_->limits.max_header_bytes, kLeast, kMost)
+                          : kMaxHeader;
+}
+
 std::optional<http::status> Outbound::fault(const HttpRequest& head) {
     if (const auto fault = framing_fault(head)) return fault;
     if (std::distance(head.begin(), head.end()) > kMaxFields)
--- a/src/proxy/outbound.hpp
+++ b/src/proxy/outbound.hpp
@@ -47,6 +47,8 @@
     // Every pending request is answered now: refused if it certainly has not run, else failed.
     void answer_all();
 
+    // Of a client's head, by the configuration.
+    std::size_t max_header_bytes() const;
     Bounds bounds() const override;
     std::optional<http::status> fault(const HttpRequest& head) override;
     std::optional<HttpResponse> local(const HttpRequest& request) override;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -71,7 +71,8 @@
                 [this](std::uint64_t edition) {
                     // The sender is not known here, but the control nodes have the edition or know who has.
                     for (const std::uint32_t hub : gossip_.control_nodes()) distributor_.hint(hub, edition);
-                }},
+                },
+                [this] { return outbound_.max_header_bytes(); }},
                link_.get(), &memory_),
       outbound_(
           io, clock_, boot_,
