Memory: freed blocks go back to the system while much is held

Calls with heads of short fields and unfinished bodies took a control node to 54.3 MB of 48, and its account stayed within its limit. Many short blocks were freed below blocks in use: they stay resident, and bodies, which are mapped one by one, can't take their place. Seen in a sample at the peak: 40.2 MB resident with at most 26.9 MB charged, of which some 10 MB are for unread input in the kernel.

Once the account is half full, free blocks are returned whenever an eighth of its limit has been freed since the last time; with little held nothing is done. A call to an API keeps its charge until it is answered; it was dropped when the body was taken out of the request.

--- a/src/api/api_front.cpp
+++ b/src/api/api_front.cpp
@@ -32,10 +32,9 @@
     ApiRequest call;
     call.method = std::string(request->method_string());
     call.target = std::string(request->target());
-    call.body = std::move(request->body());
+    call.body = std::move(request->body());  // its charge stays until the call is answered
     call.if_match = std::string((*request)[http::field::if_match]);
-    request.reset();
-    const auto done = [client](ApiAnswer answer) {
+    const auto done = [client, request](ApiAnswer answer) {
         if (const auto waiting = client.lock()) waiting->answer(to_http(std::move(answer)));
     };
     for (Resource* resource : resources_)
--- a/src/net/memory_account.cpp
+++ b/src/net/memory_account.cpp
@@ -27,7 +27,14 @@
 }
 
 MemoryAccount::MemoryAccount(asio::io_context& io, const Clock& clock, std::size_t limit)
-    : io_(io), clock_(clock), limit_(limit), sum_(std::make_shared<Sum>(Sum{0, this})), line_timer_(io) {}
+    : io_(io), clock_(clock), limit_(limit), sum_(std::make_shared<Sum>(Sum{0, 0, this})), line_timer_(io) {}
+
+void MemoryAccount::return_free_blocks() {
+    sum_->freed = 0;
+#ifdef __GLIBC__
+    ::malloc_trim(0);
+#endif
+}
 
 std::size_t MemoryAccount::grantable() const { return limit_ - limit_ / kUngrantedPart; }
 
--- a/src/net/memory_account.hpp
+++ b/src/net/memory_account.hpp
@@ -81,6 +81,7 @@
     // Shared with the charges.
     struct Sum {
         std::size_t held = 0;
+        std::size_t freed = 0;   // since free blocks were returned to the system
         MemoryAccount* account;  // null: it is gone
     };
     struct Waiting {
@@ -89,10 +90,15 @@
     };
     void on_increase() {
         if (sum_->held > limit_ && !release_scheduled_) schedule_release();
+        if (sum_->held > limit_ / kFullPart && sum_->freed > limit_ / kFreedPart) return_free_blocks();
     }
     void on_decrease() {
         if (!line_.empty() && !line_scheduled_) schedule_line();
     }
+    // What was freed below blocks in use stays resident, and larger blocks can't take its place: free blocks
+    // are returned to the system once so large a part of the limit was freed and the account is so full.
+    static constexpr std::size_t kFreedPart = 8, kFullPart = 2;
+    void return_free_blocks();
     std::size_t grantable() const;
     void schedule_release();
     void release();
@@ -126,6 +132,7 @@
         const std::size_t before = std::exchange(bytes_, bytes);
         if (!sum_) return;
         sum_->held += bytes - before;
+        if (bytes < before) sum_->freed += before - bytes;
         if (bytes > before && sum_->account) sum_->account->on_increase();
         if (bytes < before && sum_->account) sum_->account->on_decrease();
     }
