Admission: an estimate of the server's speed never keeps all requests out

Beside slow readers ordinary requests were refused for a minute and longer, with nothing at work at the server. The estimate of its speed had grown while answers waited, to more than 0.7 of the target; from there each long answer is refused as `full`, and only requests that run correct the estimate. It is a lock-out.

With nothing at work the estimate refuses nothing: the request is the trial. What the link is known to carry still counts.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -80,7 +80,8 @@
     if (closing_) return {Disposition::refuse, Reason::closing};
     if (now >= offer.deadline) return {Disposition::refuse, Reason::late};
     if (offer.once && started_ids_.contains(offer.id)) return {Disposition::refuse, Reason::repeated};
-    const Millis at_server = service_time_ratio_ * (offer.due - now);
+    // With nothing at work nobody would correct an estimate that is too high: the request is the trial.
+    const Millis at_server = working_.empty() ? 0 : service_time_ratio_ * (offer.due - now);
     if (offer.link_time > 0 &&
         exceeds_expected_limit(std::max(at_server, offer.link_wait) + offer.link_time, offer, now))
         return {Disposition::refuse, Reason::full};
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -13,6 +13,7 @@
 // Invariants:
 //   - working() does not exceed the capacity, except after the capacity was lowered while requests ran;
 //   - a request that was refused or rejected has not started, and its id may be offered again;
+//   - the estimate of the server's speed refuses nothing while nothing is at work there;
 //   - no request starts while the instance is unknown, the server is closing or the proxy is leaving;
 //   - an instance that has deregistered, or was closing before a restart of the proxy, never becomes current
 //     again.
--- a/tests/mesh/admission_test.cpp
+++ b/tests/mesh/admission_test.cpp
@@ -409,3 +409,22 @@
     CHECK_FALSE(admission.on_heartbeat("i-1", 2, false, 1));
     CHECK(admission.instance_id().empty());
 }
+
+// Guards the lock-out found beside slow readers (issue 69): an estimate that only requests which ran can
+// correct must not keep all of them from running.
+TEST_CASE("admission: a server with nothing at work is offered a long answer, however slow it was before") {
+    Admission admission = admission_with_capacity(4);
+    for (Ticket ticket = 1; ticket <= 100; ++ticket) {
+        CHECK(admission.offer(0, make_offer(ticket, "a" + std::to_string(ticket))).disposition ==
+              Disposition::begin);
+        admission.ended(ticket, 1e6);
+    }
+    Offer long_answer = make_offer(200, "b");
+    long_answer.link_time = 1;
+    CHECK(admission.offer(0, long_answer).disposition == Disposition::begin);
+    long_answer.ticket = 201, long_answer.id = "c";
+    CHECK(refused(admission.offer(0, long_answer), Reason::full));
+    admission.ended(200, 1e6);
+    long_answer.link_wait = 1e6;  // the link is no estimate: it is known to be taken
+    CHECK(refused(admission.offer(0, long_answer), Reason::full));
+}
