Control: a refused change is parsed once, and large ones in turn, so that the leader keeps its term

One call with a body of many values made the leader lose its term: callers got 503, then 307 elsewhere. The leader parsed a refused body again at each event until a majority had confirmed that it leads, and all large bodies that waited in one go, on the loop that also sends the agreement's heartbeats. The tree of 1 MB of values took some 50 MB.

The refusal is kept with the call as long as the edition stays the same. One change over 64 KiB is evaluated at a time; messages pass between two.

--- a/src/config/json_text.cpp
+++ b/src/config/json_text.cpp
@@ -52,10 +52,13 @@
     return at;
 }
 
-// Whether the text consists of JSON tokens only; their order is left to jsoncpp.
-bool has_only_tokens(std::string_view text) {
+// Whether the text consists of JSON tokens only; their order is left to jsoncpp. `values`: how many values
+// and keys it holds.
+bool has_only_tokens(std::string_view text, std::size_t& values) {
+    values = 0;
     for (std::size_t at = 0; at < text.size();) {
         const char c = text[at];
+        if (std::string_view("}]:, \t\r\n").find(c) == std::string_view::npos) ++values;
         if (c == '"') {
             for (++at; at < text.size() && text[at] != '"'; ++at) {
                 if (static_cast<unsigned char>(text[at]) < 0x20) return false;
@@ -85,7 +88,10 @@
 
 bool read_json(std::string_view json, Json::Value& value, std::string& error) {
     if (!is_utf8(json)) return error = "it is not UTF-8", false;
-    if (!has_only_tokens(json)) return error = "it holds what is no JSON", false;
+    std::size_t values = 0;
+    if (!has_only_tokens(json, values)) return error = "it holds what is no JSON", false;
+    if (values > kMaxJsonValues)
+        return error = "it holds more than " + std::to_string(kMaxJsonValues) + " values", false;
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
     builder["strictRoot"] = false;
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -1,6 +1,7 @@
 #include "control/replica.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cobaltshift::control {
 
@@ -50,6 +51,7 @@
 Millis Replica::due() const {
     Millis due = std::min(raft_.due(), membership_query_due_);
     for (const Waiting& one : waiting_) due = std::min(due, one.until);
+    if (evaluation_due_) due = std::min(due, *evaluation_due_);
     return due;
 }
 
@@ -183,6 +185,20 @@
     replies_.push_back(std::move(reply));
 }
 
+// The outcome that the change would have now; none: it is large and has to wait for the next turn. A refusal
+// is kept, as parsing a large change once more would take as long as the first time.
+std::optional<config::ChangeOutcome> Replica::evaluate(Waiting& one) {
+    if (one.refusal && one.evaluated_against == state_machine_.edition()) return one.refusal;
+    const bool large = one.change.body.size() > settings_.large_change_bytes;
+    if (large && std::exchange(evaluated_large_, true)) return {};
+    counts_.evaluated += large;
+    config::ChangeOutcome outcome = state_machine_.check(one.change);
+    if (outcome.kind == config::ChangeOutcome::Kind::taken) return outcome;
+    one.evaluated_against = state_machine_.edition();
+    one.refusal = std::move(outcome);
+    return one.refusal;
+}
+
 // Returns true if the request has been answered.
 bool Replica::try_answer(Waiting& one) {
     using Kind = config::ChangeOutcome::Kind;
@@ -200,23 +216,24 @@
         return answer(one, std::move(reply)), true;
     }
     if (change_in_flight_) return false;  // is validated against the result of the change in flight
-    config::ChangeOutcome outcome = state_machine_.check(one.change);
-    reply.edition = outcome.edition;
-    if (outcome.kind == Kind::taken) {
+    std::optional<config::ChangeOutcome> outcome = evaluate(one);
+    if (!outcome) return evaluation_due_ = now_, false;
+    reply.edition = outcome->edition;
+    if (outcome->kind == Kind::taken) {
         const auto index = raft_.propose(encode(one.change));
         if (!index) return answer(one, Reply()), true;
         one.index = *index;
         change_in_flight_ = true;
         return false;
     }
-    if (outcome.kind == Kind::duplicate) {  // committed before, so no confirmation is needed
+    if (outcome->kind == Kind::duplicate) {  // committed before, so no confirmation is needed
         reply.kind = Reply::Kind::taken;
         return answer(one, std::move(reply)), true;
     }
     if (!one.confirmed) return ask();
     ++counts_.refused;
-    reply.kind = outcome.kind == Kind::stale ? Reply::Kind::stale : Reply::Kind::invalid;
-    reply.complaints = std::move(outcome.complaints);
+    reply.kind = outcome->kind == Kind::stale ? Reply::Kind::stale : Reply::Kind::invalid;
+    reply.complaints = std::move(outcome->complaints);
     return answer(one, std::move(reply)), true;
 }
 
@@ -225,6 +242,9 @@
     // A change whose caller timed out stays in flight as long as this node leads.
     if (!leads) change_in_flight_ = false, term_ = raft_.term();
     const bool current = applied_ >= raft_.commit();
+    now_ = now;
+    evaluated_large_ = false;
+    evaluation_due_.reset();
     for (Waiting& one : waiting_) {
         if (!leads || now >= one.until) {
             if (leads) ++counts_.late;
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -52,6 +52,8 @@
     std::size_t checkpoint_bytes = 256 * 1024;
     // Compaction is postponed up to this log size while a reachable member lags behind the checkpoint.
     std::size_t lagging_log_bytes = 4 * 1024 * 1024;
+    // One change over this size is evaluated at a time; between two of them messages are sent and received.
+    std::size_t large_change_bytes = 64 * 1024;
     std::size_t max_waiting = 256;  // waiting requests; further ones get `unavailable` at once
 };
 
@@ -105,6 +107,7 @@
     const config::ConfigStateMachine& state_machine() const { return state_machine_; }
 
     struct Counts {
+        std::uint64_t evaluated = 0;  // large changes that were parsed
         std::uint64_t taken = 0, refused = 0, reads = 0, late = 0, removals = 0, compactions = 0;
     };
     const Counts& counts() const { return counts_; }
@@ -118,13 +121,17 @@
         Millis until = 0;
         std::uint64_t question = 0;  // id of the read-index request; 0: none
         bool confirmed = false;      // a majority has confirmed the leadership since it was requested
-        raft::Index index = 0;       // log index of a proposed change; 0: not proposed yet
+        // What speaks against a change, as long as the edition is the one that it was evaluated against.
+        std::optional<config::ChangeOutcome> refusal;
+        config::Edition evaluated_against = 0;
+        raft::Index index = 0;  // log index of a proposed change; 0: not proposed yet
     };
     std::uint32_t recent_leader(Millis now) const;  // IPv4 address of a recently heard leader; 0: none
     void enqueue(Millis now, Waiting waiting);
     void answer(Waiting& waiting, Reply reply);
     void process_waiting(Millis now);
     bool try_answer(Waiting& waiting);
+    std::optional<config::ChangeOutcome> evaluate(Waiting& waiting);
     void remove_silent_member(Millis now);
     void apply(const raft::Ready& ready, Output& output);
     void checkpoint(Millis now);
@@ -141,8 +148,10 @@
     };
     std::optional<Checkpoint> checkpoint_;  // the newest one, to which the log has not been compacted yet
     Millis now_ = 0, last_leader_contact_ = -1e18, membership_query_due_ = 0, last_silence_check_ = 0;
-    bool change_in_flight_ = false;  // a change is in flight
-    raft::Term term_ = 0;            // the term it was proposed in
+    bool evaluated_large_ = false;          // a large change, since process_waiting() began
+    std::optional<Millis> evaluation_due_;  // of large changes that had to wait
+    bool change_in_flight_ = false;         // a change is in flight
+    raft::Term term_ = 0;                   // the term it was proposed in
     std::deque<Waiting> waiting_;
     std::uint64_t next_question_ = 1;
     std::vector<Reply> replies_;
--- a/tests/processes/mesh_under_test.cpp
+++ b/tests/processes/mesh_under_test.cpp
@@ -67,12 +67,14 @@
     : io_(io),
       networks_(MeshNetworks::of_this_process()),
       settings_(settings),
-      operator_(io, ledger_, random_, networks_.control_endpoints(1), settings.configuration) {
+      controls_(networks_.control_endpoints(settings.control_nodes)),
+      operator_(io, ledger_, random_, controls_, settings.configuration) {
     constexpr double kLinkMbps = 1000;
-    const std::string seeds = networks_.seed_nodes(1);
+    const std::string seeds = networks_.seed_nodes(settings.control_nodes);
     const ProxyLimits client_side{kLinkMbps, settings.memory_mb, kFileLimit, "desk"};
     const ProxyLimits server_side{kLinkMbps, settings.memory_mb, kFileLimit, "goods"};
-    start(control_machine(networks_, 0, seeds, folder_, settings.memory_mb));
+    for (std::size_t i = 0; i < settings.control_nodes; ++i)
+        start(control_machine(networks_, i, seeds, folder_, settings.memory_mb));
     start(proxy_machine(networks_, kClientProxy, seeds, client_side));
     start(proxy_machine(networks_, kServerProxy, seeds, server_side));
 }
@@ -84,8 +86,10 @@
 std::unique_ptr<Child> MeshUnderTest::new_process(const MeshMachine& machine, bool first_boot) {
     const std::string file =
         folder_.write(machine.name + ".conf", machine.settings_text(first_boot, kRetrySlack));
-    const Child::Command command{
-        std::string(COBALTSHIFT_PROGRAMS) + "/" + machine.program, {}, {"COBALTSHIFT_BOOT=" + file}};
+    const Child::Command command{std::string(COBALTSHIFT_PROGRAMS) + "/" + machine.program,
+                                 {},
+                                 {"COBALTSHIFT_BOOT=" + file},
+                                 log_of(machine)};
     return std::make_unique<Child>(io_, command, nullptr);
 }
 
@@ -93,7 +97,21 @@
     return {asio::ip::make_address(networks_.proxy_ip(kServerProxy)), kOutboundPort};
 }
 
-tcp::endpoint MeshUnderTest::control() const { return networks_.control_endpoints(1).front(); }
+tcp::endpoint MeshUnderTest::control() const { return controls_.front(); }
+
+std::string MeshUnderTest::log_of(const MeshMachine& machine) const {
+    return folder_.path() + "/" + machine.name + ".log";
+}
+
+std::size_t MeshUnderTest::changes_of_leader() const {
+    std::size_t changes = 0;
+    for (const Process& process : processes_) {
+        std::ifstream log(log_of(process.machine));
+        for (std::string line; std::getline(log, line);)
+            changes += line.find("SB012") != std::string::npos || line.find("SB013") != std::string::npos;
+    }
+    return changes;
+}
 
 awaitable<bool> MeshUnderTest::reads_configuration() {
     const SteadyTime since = std::chrono::steady_clock::now();
--- a/tests/processes/mesh_under_test.hpp
+++ b/tests/processes/mesh_under_test.hpp
@@ -24,6 +24,7 @@
 // What a mesh's processes and servers are given.
 struct MeshSettings {
     std::size_t memory_mb = kMemoryMb;  // of each process
+    std::size_t control_nodes = 1;
     lab::SoakServerHabits habits = {};  // of the server that start_server() starts
     lab::SoakConfigurationLimits configuration = {};
 };
@@ -60,8 +61,11 @@
     tcp::endpoint outbound() const;              // of the proxy beside the clients
     tcp::endpoint inbound() const;               // of the proxy beside the server
     tcp::endpoint server_side_outbound() const;  // of the same proxy
-    tcp::endpoint control() const;               // of the control node
-    tcp::endpoint server() const;                // where the application server listens
+    tcp::endpoint control() const;               // of the first control node
+    const std::vector<tcp::endpoint>& controls() const { return controls_; }
+    // How often a control node has won or lost the leadership, by their logs.
+    std::size_t changes_of_leader() const;
+    tcp::endpoint server() const;  // where the application server listens
     bool all_alive();
     const std::map<std::string, Peak>& peaks() const { return peaks_; }
 
@@ -73,11 +77,13 @@
     void start(const lab::MeshMachine& machine);
     std::unique_ptr<lab::Child> new_process(const lab::MeshMachine& machine, bool first_boot);
     void sample(const Process& process);
+    std::string log_of(const lab::MeshMachine& machine) const;
 
     asio::io_context& io_;
     const lab::Folder folder_;
     const lab::MeshNetworks networks_;
     const MeshSettings settings_;
+    const std::vector<tcp::endpoint> controls_;
     lab::SoakLedger ledger_;
     kelplb::Random random_{1};
     lab::SoakOperator operator_;
