Control: connections to a control node keep within its descriptors

A control node took up to 500 connections whatever its file_limit said. It takes 60 % of the descriptors past the 200 for files now, and 500 at most, as before.

--- a/src/lab/mesh_machine.cpp
+++ b/src/lab/mesh_machine.cpp
@@ -55,13 +55,12 @@
 }
 
 MeshMachine control_machine(const MeshNetworks& networks, std::size_t number, const std::string& seeds,
-                            const Folder& disks, std::size_t memory_mb) {
-    constexpr std::size_t kFileLimit = 2000;
+                            const Folder& disks, std::size_t memory_mb, std::size_t file_limit) {
     MeshMachine machine;
     machine.name = "control-" + std::to_string(number);
     machine.ip = networks.control_ip(number);
     machine.program = "cobaltshift-control";
-    machine.settings = common_settings(machine, seeds, memory_mb, kFileLimit) +
+    machine.settings = common_settings(machine, seeds, memory_mb, file_limit) +
                        "serves=dispatch\ncounted=true\ndata_dir=" + disks.path() + "/" + machine.name + "\n";
     return machine;
 }
--- a/src/lab/mesh_machine.hpp
+++ b/src/lab/mesh_machine.hpp
@@ -42,7 +42,7 @@
 
 // `disks`: the folder below which the node keeps its data.
 MeshMachine control_machine(const MeshNetworks& networks, std::size_t number, const std::string& seeds,
-                            const Folder& disks, std::size_t memory_mb = 256);
+                            const Folder& disks, std::size_t memory_mb = 256, std::size_t file_limit = 2000);
 MeshMachine proxy_machine(const MeshNetworks& networks, std::size_t number, const std::string& seeds,
                           const ProxyLimits& limits);
 
--- a/src/programs/control.cpp
+++ b/src/programs/control.cpp
@@ -3,6 +3,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -22,8 +23,17 @@
 
 constexpr std::uint64_t kMaxConfigurationBytes = 4 << 20;  // of one API call
 constexpr std::size_t kMaxConnections = 500;
+constexpr std::size_t kDescriptorsForFiles = 200;
+constexpr double kConnectionShare =
+    0.6;  // of the other descriptors; the rest is for other nodes and the disk
 constexpr std::chrono::milliseconds kHubsPollInterval{250};
 
+Listener::Limits limits(const boot::Boot& boot) {
+    const auto share = static_cast<double>(boot.file_limit - kDescriptorsForFiles) * kConnectionShare;
+    const std::size_t connections = std::min(kMaxConnections, static_cast<std::size_t>(share));
+    return {connections, connections, 16 << 20};
+}
+
 // All components of a control node.
 class ControlProgram {
 public:
@@ -35,7 +45,7 @@
           control_node_(io, boot_, distributor_),
           front_(kMaxConfigurationBytes),
           memory_(io, clock_, memory_for_clients(boot_.memory_mb)),
-          listener_(io, clock_, front_, {kMaxConnections, kMaxConnections, 16 << 20}, nullptr, &memory_),
+          listener_(io, clock_, front_, limits(boot_), nullptr, &memory_),
           timer_(io) {
         front_.add(control_node_.config());
         distributor_.on_new_configuration = [this](std::shared_ptr<const config::Configuration> t) {
--- a/tests/processes/hostile_clients_test.cpp
+++ b/tests/processes/hostile_clients_test.cpp
@@ -26,11 +26,14 @@
 
 using Address = tcp::endpoint (MeshUnderTest::*)() const;
 constexpr Address kOutbound = &MeshUnderTest::outbound, kInbound = &MeshUnderTest::inbound,
-                  kControl = &MeshUnderTest::control;
+                  kControl = &MeshUnderTest::control, kServerControl = &MeshUnderTest::server_control,
+                  kServerReadiness = &MeshUnderTest::server_readiness;
 
 class HostileClients : public testing::Test {
 protected:
-    explicit HostileClients(const MeshSettings& settings = with_answers_of(0)) : mesh_(io_, settings) {}
+    explicit HostileClients(const MeshSettings& settings = with_answers_of(0),
+                            std::size_t most_descriptors = kFileLimit)
+        : most_descriptors_(most_descriptors), mesh_(io_, settings) {}
 
     void add(Address address, std::size_t clients, Behaviour behaviour) {
         waiting_.push_back({address, clients, std::move(behaviour)});
@@ -46,9 +49,9 @@
         ASSERT_EQ(mesh_.peaks().size(), 3U);
         for (const auto& [name, peak] : mesh_.peaks()) {
             std::printf("%s: at most %.1f MB of %zu, %zu descriptors of %zu\n", name.c_str(), peak.memory_mb,
-                        kMemoryMb, peak.descriptors, kFileLimit);
+                        kMemoryMb, peak.descriptors, most_descriptors_);
             EXPECT_LE(peak.memory_mb, static_cast<double>(kMemoryMb)) << name;
-            EXPECT_LE(peak.descriptors, kFileLimit) << name;
+            EXPECT_LE(peak.descriptors, most_descriptors_) << name;
         }
     }
     asio::io_context io_{1};
@@ -75,10 +78,45 @@
         EXPECT_TRUE(read) << "the control node did not answer beside the crowd";
     }
 
+    const std::size_t most_descriptors_;
     MeshUnderTest mesh_;
     std::vector<Group> waiting_;
 };
 
+// Of the descriptors 200 are kept for files, so that sockets must do with the others.
+class ManyConnections : public HostileClients {
+protected:
+    static constexpr std::size_t kNarrowFileLimit = 400, kKeptForFiles = 200;
+    static MeshSettings settings() {
+        MeshSettings settings = with_answers_of(0);
+        settings.file_limit = kNarrowFileLimit;
+        return settings;
+    }
+    ManyConnections() : HostileClients(settings(), kNarrowFileLimit - kKeptForFiles) {}
+    // More of them than each listener has places.
+    void add_everywhere(const std::string& start, const std::string& of_peer) {
+        const auto stay = [](const std::string& text) { return send_pieces(text, "x", 0); };
+        add(kOutbound, 150, stay(start));
+        add(kInbound, 120, stay(of_peer));
+        add(kServerControl, 30, stay(start));
+        add(kServerReadiness, 30, stay(start));
+        add(kControl, 260, stay(start));
+    }
+};
+
+TEST_F(ManyConnections, WithoutARequestStayWithinTheDescriptors) {
+    add_everywhere("", "");
+    run();
+}
+TEST_F(ManyConnections, WithHalfAHeadStayWithinTheDescriptors) {
+    add_everywhere(request_head("GET"), hop_head("GET", "i-1.1"));
+    run();
+}
+TEST_F(ManyConnections, KeptAfterARequestStayWithinTheDescriptors) {
+    add_everywhere(request_head("GET") + "\r\n", hop_head("GET", "i-1.1") + "\r\n");
+    run();
+}
+
 class HostileReaders : public HostileClients {
 protected:
     static constexpr std::size_t kAnswerBytes = 2 << 20;
--- a/tests/processes/mesh_under_test.cpp
+++ b/tests/processes/mesh_under_test.cpp
@@ -71,10 +71,10 @@
       operator_(io, ledger_, random_, controls_, settings.configuration) {
     constexpr double kLinkMbps = 1000;
     const std::string seeds = networks_.seed_nodes(settings.control_nodes);
-    const ProxyLimits client_side{kLinkMbps, settings.memory_mb, kFileLimit, "desk"};
-    const ProxyLimits server_side{kLinkMbps, settings.memory_mb, kFileLimit, "goods"};
+    const ProxyLimits client_side{kLinkMbps, settings.memory_mb, settings.file_limit, "desk"};
+    const ProxyLimits server_side{kLinkMbps, settings.memory_mb, settings.file_limit, "goods"};
     for (std::size_t i = 0; i < settings.control_nodes; ++i)
-        start(control_machine(networks_, i, seeds, folder_, settings.memory_mb));
+        start(control_machine(networks_, i, seeds, folder_, settings.memory_mb, settings.file_limit));
     start(proxy_machine(networks_, kClientProxy, seeds, client_side));
     start(proxy_machine(networks_, kServerProxy, seeds, server_side));
 }
@@ -167,6 +167,14 @@
     return {asio::ip::make_address(networks_.proxy_ip(kClientProxy)), kOutboundPort};
 }
 
+tcp::endpoint MeshUnderTest::server_control() const {
+    return {asio::ip::make_address(networks_.proxy_ip(kServerProxy)), kControlPort};
+}
+
+tcp::endpoint MeshUnderTest::server_readiness() const {
+    return {asio::ip::make_address(networks_.proxy_ip(kServerProxy)), kReadinessPort};
+}
+
 tcp::endpoint MeshUnderTest::inbound() const {
     return {asio::ip::make_address(networks_.proxy_ip(kServerProxy)), kInboundPort};
 }
--- a/tests/processes/mesh_under_test.hpp
+++ b/tests/processes/mesh_under_test.hpp
@@ -24,6 +24,7 @@
 // What a mesh's processes and servers are given.
 struct MeshSettings {
     std::size_t memory_mb = kMemoryMb;  // of each process
+    std::size_t file_limit = kFileLimit;
     std::size_t control_nodes = 1;
     lab::SoakServerHabits habits = {};  // of the server that start_server() starts
     lab::SoakConfigurationLimits configuration = {};
@@ -65,7 +66,9 @@
     const std::vector<tcp::endpoint>& controls() const { return controls_; }
     // How often a control node has won or lost the leadership, by their logs.
     std::size_t changes_of_leader() const;
-    tcp::endpoint server() const;  // where the application server listens
+    tcp::endpoint server_control() const;    // of the API of that proxy for its server
+    tcp::endpoint server_readiness() const;  // of its readiness API
+    tcp::endpoint server() const;            // where the application server listens
     bool all_alive();
     const std::map<std::string, Peak>& peaks() const { return peaks_; }
 
