Soak: a sixth family, clients that nobody controls beside ordinary ones

Clients that don't behave were tested against processes that stay. Each process has 48 MB and 800 descriptors. The checkers are those of the other families, and USAGE: no process goes over its memory, unread input included, or its descriptors.

The crowds and the measure of what a process holds move from the tests to the lab, where both use them. COBALTSHIFT_SOAK_FAMILY names the only family to run.

--- a/tests/processes/crowd.cpp
+++ b/src/lab/crowd.cpp
@@ -1,15 +1,11 @@
-#include "processes/crowd.hpp"
+#include "lab/crowd.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <cstdio>
 
-namespace cobaltshift::process_tests {
-
-using lab::kTuple;
-using lab::ms_since;
-using lab::pause;
+namespace cobaltshift::lab {
 
 namespace {
 
@@ -136,4 +132,4 @@
     co_await pause(io_, kStayMs);
 }
 
-}  // namespace cobaltshift::process_tests
+}  // namespace cobaltshift::lab
--- a/tests/processes/crowd.hpp
+++ b/src/lab/crowd.hpp
@@ -1,5 +1,5 @@
-// Clients that nobody controls, for the tests of hostile clients. Each keeps to its behaviour on one
-// connection after another until it is told to stop. Entry types: Crowd and the behaviours.
+// Clients that nobody controls, for the tests of hostile clients and the soak. Each keeps to its behaviour on
+// one connection after another until it is told to stop. Entry types: Crowd and the behaviours.
 #pragma once
 
 #include <functional>
@@ -8,9 +8,7 @@
 
 #include "lab/soak_io.hpp"
 
-namespace cobaltshift::process_tests {
-
-using asio::awaitable;
+namespace cobaltshift::lab {
 
 // What a client does on one connection until that ends. Sets `part_done` once it has sent what it means to
 // send and only stays, or reads on.
@@ -53,4 +51,4 @@
     std::shared_ptr<bool> stopped_ = std::make_shared<bool>(false);
 };
 
-}  // namespace cobaltshift::process_tests
+}  // namespace cobaltshift::lab
--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -9,10 +9,14 @@
 #include <boost/asio/detached.hpp>
 #include <cstdlib>
 #include <filesystem>
+#include <optional>
+#include <set>
 
 #include "lab/child.hpp"
 #include "lab/mesh_machine.hpp"
+#include "lab/process_usage.hpp"
 #include "lab/soak_client.hpp"
+#include "lab/soak_crowds.hpp"
 #include "lab/soak_operator.hpp"
 #include "lab/soak_server.hpp"
 
@@ -30,6 +34,7 @@
 constexpr double kReadyWithinMs = 40000, kClientsEndWithinMs = 14000;
 constexpr double kMostStoppingAtOnce = 0.4;  // of the proxies
 constexpr double kMinFreezeMs = 50, kMaxFreezeMs = 1200;
+constexpr double kUsageIntervalMs = 50;
 
 struct Family {
     const char* name;
@@ -37,6 +42,8 @@
     double link_mbps = 0;  // of each proxy's machine, by which long answers take turns; 0: not known
     std::size_t clients_per_proxy = 4;
     SoakServerHabits servers = {};
+    bool uncontrolled_clients = false;               // beside the ordinary ones
+    std::size_t memory_mb = 256, file_limit = 2000;  // of each process
 };
 
 // Few slots and connections for what the clients ask, and every habit of the users' pages.
@@ -53,7 +60,10 @@
 }
 
 // A link of 5 Mbit/s is nearly full with what these clients ask for.
-constexpr std::array<Family, 5> kFamilies{
+// Long answers for those that read them slowly, from servers that leave and come.
+constexpr SoakServerHabits kServersOfLongAnswers{.large = 0.2, .large_bytes = 1 << 20, .replaced = true};
+
+constexpr std::array<Family, 6> kFamilies{
     {{.name = "planned work alone"},
      {.name = "with kills", .kills = true},
      {.name = "narrow links", .link_mbps = 5},
@@ -61,7 +71,13 @@
      {.name = "crowded servers",
       .kills = true,
       .clients_per_proxy = 16,
-      .servers = with_nameless_refusals(kRefusingServers)}}};
+      .servers = with_nameless_refusals(kRefusingServers)},
+     {.name = "uncontrolled clients",
+      .kills = true,
+      .servers = kServersOfLongAnswers,
+      .uncontrolled_clients = true,
+      .memory_mb = 48,
+      .file_limit = 800}}};
 
 struct Plan {
     Family family;
@@ -103,6 +119,7 @@
     const SoakLedger& ledger() const { return ledger_; }
     std::map<std::string, std::uint64_t> struck() const { return struck_; }
     double most_resident_mb() const { return most_resident_mb_; }
+    const ProcessUsage& most_used() const { return most_used_; }
     std::uint64_t acknowledged() const { return operator_.acknowledged(); }
     std::size_t processes() const { return machines_.size(); }
 
@@ -113,9 +130,12 @@
 
     void add(bool control, std::size_t number) {
         const std::string seeds = networks_.seed_nodes(kControls);
-        machines_.emplace_back(
-            control ? control_machine(networks_, number, seeds, folder_)
-                    : proxy_machine(networks_, number, seeds, {.link_mbps = plan_.family.link_mbps}));
+        machines_.emplace_back(control ? control_machine(networks_, number, seeds, folder_,
+                                                         plan_.family.memory_mb, plan_.family.file_limit)
+                                       : proxy_machine(networks_, number, seeds,
+                                                       {.link_mbps = plan_.family.link_mbps,
+                                                        .memory_mb = plan_.family.memory_mb,
+                                                        .file_limit = plan_.family.file_limit}));
     }
 
     void write_settings(Machine& machine, bool first) {
@@ -188,6 +208,24 @@
         machine.frozen = false;
     }
 
+    // Until the machines go.
+    awaitable<void> watch_usage() {
+        while (!machines_.empty()) {
+            for (const Machine& machine : machines_) judge_usage(machine);
+            co_await pause(io_, kUsageIntervalMs);
+        }
+    }
+    // Accuses each process once.
+    void judge_usage(const Machine& machine) {
+        const ProcessUsage usage = usage_of(machine.child->pid(), machine.ip);
+        most_used_.raise_to(usage);
+        const bool within = usage.memory_mb <= static_cast<double>(plan_.family.memory_mb) &&
+                            usage.descriptors <= plan_.family.file_limit;
+        if (within || !over_limits_.insert(machine.child->pid()).second) return;
+        ledger_.accuse("USAGE", machine.name + " holds " + shown(usage.memory_mb, 1) + " MB and " +
+                                    std::to_string(usage.descriptors) + " descriptors");
+    }
+
     // ---- The day -----------------------------------------------------------------------------------------
 
     awaitable<void> day() {
@@ -203,6 +241,8 @@
         }
         for (std::size_t i = 0; i < plan_.proxies * plan_.family.clients_per_proxy; ++i)
             start_soak_client(clients_, 1 + random_.below(1 << 30));
+        if (plan_.family.uncontrolled_clients) crowds_.emplace(io_, networks_, plan_.proxies, kControls);
+        asio::co_spawn(io_, watch_usage(), asio::detached);
         const Steady::time_point begun = Steady::now();
         asio::co_spawn(io_, operator_.change_until(changes_stopped_), asio::detached);
         while (ms_since(begun) < plan_.seconds * 1000) {
@@ -210,6 +250,7 @@
             co_await pause(io_, 100 + 500 * random_.unit());
         }
         *changes_stopped_ = *clients_stopped_ = true;
+        crowds_.reset();
         const Steady::time_point calm = Steady::now();
         while ((clients_.open > 0 || stopping() > 0) && ms_since(calm) < kClientsEndWithinMs)
             co_await pause(io_, 20);
@@ -299,6 +340,9 @@
     std::vector<Machine> machines_;
     std::map<std::string, std::uint64_t> struck_;
     double most_resident_mb_ = 0;
+    std::optional<SoakCrowds> crowds_;
+    ProcessUsage most_used_;
+    std::set<pid_t> over_limits_;
 };
 
 std::size_t proxies_wanted(std::size_t otherwise) {
@@ -306,6 +350,12 @@
     return wanted ? static_cast<std::size_t>(std::max(2, std::atoi(wanted))) : otherwise;
 }
 
+// COBALTSHIFT_SOAK_FAMILY names the only family to run; unset: all.
+bool is_wanted(const Family& family) {
+    const char* wanted = std::getenv("COBALTSHIFT_SOAK_FAMILY");
+    return !wanted || std::string(wanted) == family.name;
+}
+
 // Where COBALTSHIFT_SOAK_LOGS names a folder, each family of a seed has one of its own in it.
 std::string log_folder(std::uint64_t seed, std::string family) {
     const char* folder = std::getenv("COBALTSHIFT_SOAK_LOGS");
@@ -323,6 +373,7 @@
     result.columns(
         {"family", "requests", "served", "refused", "failed", "closed", "crossed", "changes", "broken"});
     for (const Family& family : kFamilies) {
+        if (!is_wanted(family)) continue;
         Plan plan;
         plan.family = family;
         plan.proxies = proxies_wanted(run.quick ? 6 : 12);
@@ -348,10 +399,13 @@
         std::string struck;
         for (const auto& [what, count] : one.struck())
             struck += " " + what + " " + std::to_string(count) + ";";
-        result.note(name + ":" + struck + " largest process " + shown(one.most_resident_mb(), 1) + " MB");
+        result.note(name + ":" + struck + " largest process " + shown(one.most_resident_mb(), 1) +
+                    " MB; at most " + shown(one.most_used().memory_mb, 1) + " MB with unread input, " +
+                    std::to_string(one.most_used().descriptors) + " descriptors");
         result.at_most(name + ": broken", broken, 0);
         result.at_least(name + ": requests", static_cast<double>(ledger.requests()), 300);
         result.at_least(name + ": changes acknowledged", static_cast<double>(one.acknowledged()), 10);
+        result.at_least(name + ": served", ends("served"), 1);
         const auto stopped = one.struck()["stopped"];
         result.at_least(name + ": processes stopped", static_cast<double>(stopped), 5);
     }
--- a/tests/processes/hostile_clients_test.cpp
+++ b/tests/processes/hostile_clients_test.cpp
@@ -5,10 +5,13 @@
 
 #include <boost/asio/co_spawn.hpp>
 
-#include "processes/crowd.hpp"
+#include "lab/crowd.hpp"
 #include "processes/mesh_under_test.hpp"
 
 namespace cobaltshift::process_tests {
+
+using namespace lab;
+
 namespace {
 
 // Of the configuration that the mesh gets (lab/soak_operator.cpp).
--- a/tests/processes/largest_request_test.cpp
+++ b/tests/processes/largest_request_test.cpp
@@ -4,13 +4,14 @@
 
 #include <boost/asio/co_spawn.hpp>
 
-#include "processes/crowd.hpp"
+#include "lab/crowd.hpp"
 #include "processes/mesh_under_test.hpp"
 
 namespace cobaltshift::process_tests {
-namespace {
 
-using lab::kTuple;
+using namespace lab;
+
+namespace {
 
 constexpr std::size_t kPagesMemoryMb = 260, kPagesMaxBodyBytes = 64 << 20, kChunkBytes = 1 << 20;
 constexpr std::size_t kAnswerBytes = (64 << 20) - 1024;
--- a/tests/processes/mesh_under_test.cpp
+++ b/tests/processes/mesh_under_test.cpp
@@ -2,9 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <filesystem>
 #include <fstream>
-#include <sstream>
 
 namespace cobaltshift::process_tests {
 
@@ -26,41 +24,6 @@
     return request;
 }
 
-// A field of /proc/PID/status in MB.
-double status_mb(pid_t pid, const std::string& field) {
-    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-    for (std::string line; std::getline(file, line);)
-        if (line.starts_with(field + ":")) return std::atof(line.c_str() + field.size() + 1) / 1024;
-    return 0;
-}
-
-// Bytes that the kernel has received for the connections of `ip` and that nobody has read.
-double unread_mb(const std::string& ip) {
-    const auto address = asio::ip::make_address_v4(ip).to_bytes();
-    char prefix[16];
-    std::snprintf(prefix, sizeof prefix, "%02X%02X%02X%02X:", address[3], address[2], address[1], address[0]);
-    std::ifstream file("/proc/net/tcp");
-    double bytes = 0;
-    for (std::string line; std::getline(file, line);) {
-        std::istringstream words(line);
-        std::string slot, local, remote, state, queues;
-        words >> slot >> local >> remote >> state >> queues;
-        constexpr const char* kEstablished = "01";
-        if (state != kEstablished || !local.starts_with(prefix)) continue;
-        bytes += static_cast<double>(std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16));
-    }
-    return bytes / (1 << 20);
-}
-
-std::size_t open_descriptors(pid_t pid) {
-    std::error_code gone;
-    std::size_t count = 0;
-    for (std::filesystem::directory_iterator at("/proc/" + std::to_string(pid) + "/fd", gone), end;
-         !gone && at != end; at.increment(gone))
-        ++count;
-    return count;
-}
-
 }  // namespace
 
 MeshUnderTest::MeshUnderTest(asio::io_context& io, const MeshSettings& settings)
@@ -206,11 +169,7 @@
 }
 
 void MeshUnderTest::sample(const Process& process) {
-    const pid_t pid = process.child->pid();
-    Peak& peak = peaks_[process.machine.name];
-    const double now_mb = status_mb(pid, "VmRSS") + unread_mb(process.machine.ip);
-    peak.memory_mb = std::max({peak.memory_mb, now_mb, status_mb(pid, "VmHWM")});
-    peak.descriptors = std::max(peak.descriptors, open_descriptors(pid));
+    peaks_[process.machine.name].raise_to(usage_of(process.child->pid(), process.machine.ip));
 }
 
 bool MeshUnderTest::all_alive() {
--- a/tests/processes/mesh_under_test.hpp
+++ b/tests/processes/mesh_under_test.hpp
@@ -9,6 +9,7 @@
 
 #include "lab/child.hpp"
 #include "lab/mesh_machine.hpp"
+#include "lab/process_usage.hpp"
 #include "lab/soak_io.hpp"
 #include "lab/soak_ledger.hpp"
 #include "lab/soak_operator.hpp"
@@ -30,12 +31,6 @@
     lab::SoakConfigurationLimits configuration = {};
 };
 
-// The most that one process has held.
-struct Peak {
-    double memory_mb = 0;  // resident, and received by the kernel but not read by the process
-    std::size_t descriptors = 0;
-};
-
 class MeshUnderTest {
 public:
     MeshUnderTest(asio::io_context& io, const MeshSettings& settings);
@@ -70,7 +65,7 @@
     tcp::endpoint server_readiness() const;  // of its readiness API
     tcp::endpoint server() const;            // where the application server listens
     bool all_alive();
-    const std::map<std::string, Peak>& peaks() const { return peaks_; }
+    const std::map<std::string, lab::ProcessUsage>& peaks() const { return peaks_; }
 
 private:
     struct Process {
@@ -91,7 +86,7 @@
     kelplb::Random random_{1};
     lab::SoakOperator operator_;
     std::vector<Process> processes_;
-    std::map<std::string, Peak> peaks_;
+    std::map<std::string, lab::ProcessUsage> peaks_;
     std::shared_ptr<bool> stopped_ = std::make_shared<bool>(false);
 };
 
