--- a/tests/processes/hostile_clients_test.cpp
+++ b/tests/processes/hostile_clients_test.cpp
@@ -176,6 +176,24 @@
     run();
 }
 
+// Each chunk costs its parsing, and holds one byte.
+TEST_F(HostileClients, UnfinishedBodiesInChunksOfOneByteStayWithinTheMemory) {
+    add(kOutbound, 60, send_pieces(request_head("POST") + kChunkedBody, chunk_of(1), 4 << 20));
+    add(kInbound, 30, send_pieces(hop_head("POST", "i-1.1") + kChunkedBody, chunk_of(1), 4 << 20));
+    run();
+}
+
+TEST_F(HostileClients, EmptyLinesBeforeASecondRequestStayWithinTheMemory) {
+    add(kOutbound, 120, send_pieces(request_head("GET") + "\r\n", "\r\n", 4 << 20));
+    add(kInbound, 80, send_pieces(hop_head("GET", "i-1.1") + "\r\n", "\r\n", 4 << 20));
+    run();
+}
+TEST_F(HostileClients, BareLineFeedsBeforeARequestStayWithinTheMemory) {
+    add(kOutbound, 120, send_pieces("", "\n", 4 << 20));
+    add(kInbound, 80, send_pieces("", "\n", 4 << 20));
+    run();
+}
+
 // Requests behind one that is at work wait unread in the kernel.
 TEST_F(HostileClients, RequestsSentOnWithoutReadingStayWithinTheMemory) {
     add(kOutbound, 120, send_pieces("", request_head("GET") + "\r\n", 4 << 20));
