Soak: a process that was just started is not measured before it runs its program

Neither is a proxy's or a control node's: between fork and exec a child is a copy of the soak itself, with its memory and descriptors. A process is measured once it runs its own program.

--- a/src/lab/process_usage.cpp
+++ b/src/lab/process_usage.cpp
@@ -51,6 +51,12 @@
 
 }  // namespace
 
+bool runs_program(pid_t pid, const std::string& program) {
+    std::error_code gone;
+    const auto file = std::filesystem::read_symlink("/proc/" + std::to_string(pid) + "/exe", gone);
+    return !gone && file.filename() == program;
+}
+
 ProcessUsage usage_of(pid_t pid, const std::string& ip) {
     const double now_mb = status_mb(pid, "VmRSS") + unread_mb(ip);
     return {std::max(now_mb, status_mb(pid, "VmHWM")), open_descriptors(pid)};
--- a/src/lab/process_usage.hpp
+++ b/src/lab/process_usage.hpp
@@ -20,6 +20,10 @@
     }
 };
 
+// Whether the process runs the program with that file name. One that was just started is a copy of this
+// process until it does, with what this one holds.
+bool runs_program(pid_t pid, const std::string& program);
+
 // Of the process `pid`, whose connections are those of the address `ip`. Its memory is at least the most that
 // was resident since its start. Zeros if there is no such process.
 ProcessUsage usage_of(pid_t pid, const std::string& ip);
--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -74,6 +74,7 @@
       .servers = with_nameless_refusals(kRefusingServers)},
      {.name = "uncontrolled clients",
       .kills = true,
+      .clients_per_proxy = 8,
       .servers = kServersOfLongAnswers,
       .uncontrolled_clients = true,
       .memory_mb = 48,
@@ -217,6 +218,7 @@
     }
     // Accuses each process once.
     void judge_usage(const Machine& machine) {
+        if (!runs_program(machine.child->pid(), machine.program)) return;
         const ProcessUsage usage = usage_of(machine.child->pid(), machine.ip);
         most_used_.raise_to(usage);
         const bool within = usage.memory_mb <= static_cast<double>(plan_.family.memory_mb) &&
