Control: a kept refusal is a shared pointer, which the sanitized build takes

GCC 12 with -fsanitize and -O1 takes the members of an optional that is empty for uninitialized when a waiting request is moved, so that the sanitized tests did not build. The refusal is held by a shared pointer now, which is empty without it. The control tests pass as before.

--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -185,18 +185,19 @@
     replies_.push_back(std::move(reply));
 }
 
-// The outcome that the change would have now; none: it is large and has to wait for the next turn. A refusal
+// The outcome that the change would have now; null: it is large and has to wait for the next turn. A refusal
 // is kept, as parsing a large change once more would take as long as the first time.
-std::optional<config::ChangeOutcome> Replica::evaluate(Waiting& one) {
+std::shared_ptr<const config::ChangeOutcome> Replica::evaluate(Waiting& one) {
     if (one.refusal && one.evaluated_against == state_machine_.edition()) return one.refusal;
     const bool large = one.change.body.size() > settings_.large_change_bytes;
     if (large && std::exchange(evaluated_large_, true)) return {};
     counts_.evaluated += large;
-    config::ChangeOutcome outcome = state_machine_.check(one.change);
-    if (outcome.kind == config::ChangeOutcome::Kind::taken) return outcome;
+    std::shared_ptr<const config::ChangeOutcome> outcome =
+        std::make_shared<config::ChangeOutcome>(state_machine_.check(one.change));
+    if (outcome->kind == config::ChangeOutcome::Kind::taken) return outcome;
     one.evaluated_against = state_machine_.edition();
-    one.refusal = std::move(outcome);
-    return one.refusal;
+    one.refusal = outcome;
+    return outcome;
 }
 
 // Returns true if the request has been answered.
@@ -216,7 +217,7 @@
         return answer(one, std::move(reply)), true;
     }
     if (change_in_flight_) return false;  // is validated against the result of the change in flight
-    std::optional<config::ChangeOutcome> outcome = evaluate(one);
+    const auto outcome = evaluate(one);
     if (!outcome) return evaluation_due_ = now_, false;
     reply.edition = outcome->edition;
     if (outcome->kind == Kind::taken) {
@@ -233,7 +234,7 @@
     if (!one.confirmed) return ask();
     ++counts_.refused;
     reply.kind = outcome->kind == Kind::stale ? Reply::Kind::stale : Reply::Kind::invalid;
-    reply.complaints = std::move(outcome->complaints);
+    reply.complaints = outcome->complaints;
     return answer(one, std::move(reply)), true;
 }
 
--- a/src/control/replica.hpp
+++ b/src/control/replica.hpp
@@ -16,6 +16,7 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 
 #include "config/config_state_machine.hpp"
 #include "config/startup_confirmation.hpp"
@@ -122,7 +123,7 @@
         std::uint64_t question = 0;  // id of the read-index request; 0: none
         bool confirmed = false;      // a majority has confirmed the leadership since it was requested
         // What speaks against a change, as long as the edition is the one that it was evaluated against.
-        std::optional<config::ChangeOutcome> refusal;
+        std::shared_ptr<const config::ChangeOutcome> refusal;  // null: not evaluated, or nothing does
         config::Edition evaluated_against = 0;
         raft::Index index = 0;  // log index of a proposed change; 0: not proposed yet
     };
@@ -131,7 +132,7 @@
     void answer(Waiting& waiting, Reply reply);
     void process_waiting(Millis now);
     bool try_answer(Waiting& waiting);
-    std::optional<config::ChangeOutcome> evaluate(Waiting& waiting);
+    std::shared_ptr<const config::ChangeOutcome> evaluate(Waiting& waiting);
     void remove_silent_member(Millis now);
     void apply(const raft::Ready& ready, Output& output);
     void checkpoint(Millis now);
