Listener: what waits to be accepted keeps within the process's memory

The kernel receives for connections that nobody has accepted yet, and that counts towards a process's memory: with all places of a listener taken, 900 more clients took a proxy to 97.0 MB of 48. Up to 1,024 of them could wait at each listener, with some 108 KB each (a receive buffer of 64 KiB is doubled by the kernel).

The backlogs of a process together get an eighth of its memory, at 128 KiB a connection, shared out as the connections are: 142 and 101 at the two listeners of a proxy of 260 MB, 4 at least at the others. Who finds no place is not connected yet, and its system tries again. What is in service keeps its 1,024.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -450,7 +450,7 @@
     acceptor_.set_option(
         asio::socket_base::receive_buffer_size(kReceiveBufferBytes));  // inherited by accepted sockets
     acceptor_.bind(at);
-    acceptor_.listen(1024);
+    acceptor_.listen(static_cast<int>(limits_.backlog));
     acceptor_.non_blocking(true);
     accept();
     sweep();
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -29,6 +29,9 @@
         std::size_t body_bytes = 16 << 20;
         // ms that an answer, or one piece of a paced answer, may wait for the client to read it.
         Millis write_time = 5000;
+        // Connections that wait in the kernel to be accepted; what they have sent counts towards the
+        // process's memory.
+        std::size_t backlog = 1024;
     };
     // `link`: paces long answers over a shared link; null: each answer is written as fast as its client
     // reads. `memory`: of the process; null: what is held is not counted.
--- a/src/net/memory_account.cpp
+++ b/src/net/memory_account.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 constexpr double kClientShare = 0.56;
+constexpr std::size_t kBacklogPart = 8;
+// The kernel takes twice the size that a receive buffer is given.
+constexpr std::size_t kBytesPerWaitingConnection = 128 * 1024;
 constexpr int kLargeBlockBytes = 256 * 1024;
 // The part of the limit that is not granted to long answers: what is charged without asking needs it.
 constexpr std::size_t kUngrantedPart = 16;
@@ -20,6 +23,10 @@
     return static_cast<std::size_t>(static_cast<double>(memory_mb << 20) * kClientShare);
 }
 
+std::size_t backlog_for(std::size_t memory_mb) {
+    return (memory_mb << 20) / kBacklogPart / kBytesPerWaitingConnection;
+}
+
 void return_freed_memory() {
 #ifdef M_MMAP_THRESHOLD
     ::mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
--- a/src/net/memory_account.hpp
+++ b/src/net/memory_account.hpp
@@ -147,6 +147,10 @@
 // allocator can't reuse, and for a buffer that is copied while it grows.
 std::size_t memory_for_clients(std::size_t memory_mb);
 
+// How many connections may wait to be accepted, at all listeners of a process together: an eighth of its
+// memory for what the kernel may have received for them.
+std::size_t backlog_for(std::size_t memory_mb);
+
 // Makes the allocator return large blocks to the system as soon as they are freed. Without it, freed bodies
 // and answers stay resident below blocks that are still in use. Called once, before any other thread starts.
 void return_freed_memory();
--- a/src/programs/control.cpp
+++ b/src/programs/control.cpp
@@ -31,7 +31,9 @@
 Listener::Limits limits(const boot::Boot& boot) {
     const auto share = static_cast<double>(boot.file_limit - kDescriptorsForFiles) * kConnectionShare;
     const std::size_t connections = std::min(kMaxConnections, static_cast<std::size_t>(share));
-    return {connections, connections, 16 << 20};
+    Listener::Limits limits{connections, connections, 16 << 20};
+    limits.backlog = std::min(limits.backlog, backlog_for(boot.memory_mb));
+    return limits;
 }
 
 // All components of a control node.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -2,6 +2,8 @@
 
 #include <json/json.h>
 
+#include <algorithm>
+
 #include "log/log.hpp"
 
 namespace cobaltshift::proxy {
@@ -52,9 +54,17 @@
               {"answer_left", static_cast<std::uint64_t>(request.unsent_bytes)}});
 }
 
+// Of the descriptors that are not kept for files; the others are for connections to other nodes.
+constexpr double kOutboundShare = 0.35, kInboundShare = 0.25, kApiShare = 0.02;
+constexpr double kListenersShare = kOutboundShare + kInboundShare + 2 * kApiShare;
+constexpr std::size_t kMinBacklog = 4;
+
 Listener::Limits limits(const boot::Boot& boot, double share) {
     const auto descriptors = static_cast<std::size_t>(static_cast<double>(boot.file_limit - 200) * share);
-    return {descriptors, descriptors, boot.memory_mb << 20};
+    Listener::Limits limits{descriptors, descriptors, boot.memory_mb << 20};
+    const double backlog = static_cast<double>(backlog_for(boot.memory_mb)) * share / kListenersShare;
+    limits.backlog = std::clamp(static_cast<std::size_t>(backlog), kMinBacklog, limits.backlog);
+    return limits;
 }
 }  // namespace
 
@@ -96,10 +106,10 @@
       readiness_resource_([this] { return ready(); }),
       control_front_(kMaxCallBytes),
       ready_front_(kMaxCallBytes),
-      outbound_listener_(io, clock_, outbound_, limits(boot_, 0.35), link_.get(), &memory_),
-      inbound_listener_(io, clock_, inbound_, limits(boot_, 0.25), link_.get(), &memory_),
-      control_listener_(io, clock_, control_front_, limits(boot_, 0.02), nullptr, &memory_),
-      ready_listener_(io, clock_, ready_front_, limits(boot_, 0.02), nullptr, &memory_),
+      outbound_listener_(io, clock_, outbound_, limits(boot_, kOutboundShare), link_.get(), &memory_),
+      inbound_listener_(io, clock_, inbound_, limits(boot_, kInboundShare), link_.get(), &memory_),
+      control_listener_(io, clock_, control_front_, limits(boot_, kApiShare), nullptr, &memory_),
+      ready_listener_(io, clock_, ready_front_, limits(boot_, kApiShare), nullptr, &memory_),
       timer_(io),
       tally_timer_(io),
       confirmation_timer_(io) {
--- a/tests/processes/hostile_clients_test.cpp
+++ b/tests/processes/hostile_clients_test.cpp
@@ -28,9 +28,15 @@
 }
 
 using Address = tcp::endpoint (MeshUnderTest::*)() const;
+// A whole request, and a part of a second one.
+std::string one_and_a_half_requests() {
+    return request_head("GET") + "\r\n" + request_head("POST") + "Content-Length: 100\r\n\r\nx";
+}
+
 constexpr Address kOutbound = &MeshUnderTest::outbound, kInbound = &MeshUnderTest::inbound,
                   kControl = &MeshUnderTest::control, kServerControl = &MeshUnderTest::server_control,
-                  kServerReadiness = &MeshUnderTest::server_readiness;
+                  kServerReadiness = &MeshUnderTest::server_readiness,
+                  kServerOutbound = &MeshUnderTest::server_side_outbound;
 
 class HostileClients : public testing::Test {
 protected:
@@ -92,7 +98,7 @@
     static constexpr std::size_t kNarrowFileLimit = 400, kKeptForFiles = 200;
     static MeshSettings settings() {
         MeshSettings settings = with_answers_of(0);
-        settings.file_limit = kNarrowFileLimit;
+        settings.file_limit = settings.control_file_limit = kNarrowFileLimit;
         return settings;
     }
     ManyConnections() : HostileClients(settings(), kNarrowFileLimit - kKeptForFiles) {}
@@ -223,6 +229,40 @@
     run();
 }
 
+// What the kernel has received counts though nobody has accepted the connection.
+TEST_F(ManyConnections, ThatWaitToBeAcceptedStayWithinTheMemory) {
+    add(kServerOutbound, 120, send_pieces(one_and_a_half_requests(), "x", 0));
+    add(kServerOutbound, 900, send_pieces(request_head("GET") + "X-Long: ", "x", 256 << 10));
+    run();
+}
+
+// Who has had an answer and then stops within a request kept its place until the time for a body was over.
+TEST_F(ManyConnections, WithHalfASecondRequestLeavePlacesForOthers) {
+    add(kOutbound, 150, send_pieces(one_and_a_half_requests(), "x", 0));
+    add(kInbound, 120,
+        send_pieces(
+            hop_head("GET", "i-1.1") + "\r\n" + hop_head("POST", "i-1.1") + "Content-Length: 100\r\n\r\nx",
+            "x", 0));
+    run();
+}
+
+class ManySmallCharges : public HostileClients {
+protected:
+    static constexpr std::size_t kPagesFileLimit = 4100;
+    static MeshSettings settings() {
+        MeshSettings settings = with_answers_of(0);
+        settings.file_limit = kPagesFileLimit;
+        return settings;
+    }
+    ManySmallCharges() : HostileClients(settings(), kPagesFileLimit) {}
+};
+
+// Each release looks for the costliest among all connections.
+TEST_F(ManySmallCharges, OfManyConnectionsAreReleasedWithoutAHang) {
+    add(kOutbound, 1000, send_pieces(request_head("POST") + kChunkedBody, chunk_of(1), 64 << 10));
+    run();
+}
+
 class EndlessAnswers : public HostileClients {
 protected:
     static MeshSettings settings() {
--- a/tests/processes/mesh_under_test.cpp
+++ b/tests/processes/mesh_under_test.cpp
@@ -37,7 +37,7 @@
     const ProxyLimits client_side{kLinkMbps, settings.memory_mb, settings.file_limit, "desk"};
     const ProxyLimits server_side{kLinkMbps, settings.memory_mb, settings.file_limit, "goods"};
     for (std::size_t i = 0; i < settings.control_nodes; ++i)
-        start(control_machine(networks_, i, seeds, folder_, settings.memory_mb, settings.file_limit));
+        start(control_machine(networks_, i, seeds, folder_, settings.memory_mb, settings.control_file_limit));
     start(proxy_machine(networks_, kClientProxy, seeds, client_side));
     start(proxy_machine(networks_, kServerProxy, seeds, server_side));
 }
--- a/tests/processes/mesh_under_test.hpp
+++ b/tests/processes/mesh_under_test.hpp
@@ -25,7 +25,7 @@
 // What a mesh's processes and servers are given.
 struct MeshSettings {
     std::size_t memory_mb = kMemoryMb;  // of each process
-    std::size_t file_limit = kFileLimit;
+    std::size_t file_limit = kFileLimit, control_file_limit = 2000;
     std::size_t control_nodes = 1;
     lab::SoakServerHabits habits = {};  // of the server that start_server() starts
     lab::SoakConfigurationLimits configuration = {};
