Tests: large changes that have waited together are parsed one in each turn

The case drives one replica turn by turn: behind a change in flight nothing is parsed, then one large change in each turn, without another event.

--- a/tests/mesh/control_test.cpp
+++ b/tests/mesh/control_test.cpp
@@ -576,3 +576,30 @@
     CHECK(replica.counts().evaluated == calls.size());
     CHECK(world.leader() == leader);
 }
+
+// Guards against all large changes that have waited being parsed in one go, while no heartbeat leaves.
+TEST_CASE("control: large changes that have waited together are parsed one in each turn") {
+    ReplicaWorld world(32, {}, 1);
+    const std::uint32_t leader = world.await_leader();
+    must_put(world, 0, 1);
+    Replica& replica = *world.hubs.at(leader).replica;
+    replica.change(world.now, 1001, put(1, 2));
+    const std::string body = "[" + std::string(ReplicaSettings().large_change_bytes, ' ') + "0]";
+    constexpr std::uint64_t kCalls = 5;
+    for (std::uint64_t i = 0; i < kCalls; ++i)
+        replica.change(world.now, 2001 + i, {config::Change::Kind::put, 2, body});
+    CHECK(replica.counts().evaluated == 0);  // they wait for the change in flight
+    constexpr int kMostTurns = 100;
+    for (int turn = 0; turn < kMostTurns && replica.counts().evaluated < kCalls; ++turn) {
+        const std::uint64_t before = replica.counts().evaluated;
+        if (replica.has_output()) {
+            replica.take_output(world.now);
+            replica.persisted();
+        } else {
+            CHECK(replica.due() <= world.now);  // it need not be asked for by another event
+            replica.tick(world.now);
+        }
+        CHECK(replica.counts().evaluated <= before + 1);
+    }
+    CHECK(replica.counts().evaluated == kCalls);
+}
