Memory: long requests still arriving give way to answers that wait for room

Callers saw an ordinary request beside uploads get 504s for a minute: its long answer waited for room in the proxy until its deadline, each time. Uploads are charged without asking and refill the account to its limit as fast as the costliest are refused (some 220 a second), so that none reached the age of half a second from which a client was released for those that wait, and the part of the account that is granted was never free.

A request of more than 64 KiB that has yet to arrive whole goes for an answer in line whatever its age: it has not run, and its refusal says so. Short ones keep the half second.

A unit test of the account beside it.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -87,10 +87,13 @@
 
     // What keeping this connection costs (see MemoryAccount), if it can be released: its client has yet to
     // send or to read something.
-    std::optional<double> memory_cost(Millis now, Millis min_age) const {
+    std::optional<double> memory_cost(Millis now, const MemoryAccount::Eligible& eligible) const {
         const bool client_is_due = state_ == State::reading || state_ == State::writing ||
                                    state_ == State::lingering || leaves_input_unread_;
-        if (!client_is_due || state_ == State::closed || now - busy_since_ < min_age) return {};
+        if (!client_is_due || state_ == State::closed) return {};
+        const bool is_eligible =
+            now - busy_since_ >= eligible.min_age || (eligible.long_requests && reads_long_request());
+        if (!is_eligible) return {};
         return static_cast<double>(charge_.bytes()) * (now - busy_since_ + 1);
     }
     void release_memory() {
@@ -157,6 +160,10 @@
     bool may_have_unread_input() const {
         return leaves_input_unread_ || state_ == State::reading || state_ == State::lingering;
     }
+    bool reads_long_request() const {
+        return state_ == State::reading &&
+               charge_.bytes() > kConnectionBytes + kReceiveBufferBytes + kShortBodyBytes;
+    }
     // Brings the charge up to date with what is held for this connection.
     void charge_held() {
         std::size_t bytes = kConnectionBytes + input_.capacity() + answer_bytes_;
@@ -511,11 +518,12 @@
     return !memory_ || bytes <= kShortBodyBytes || memory_->has_room(bytes);
 }
 
-std::shared_ptr<Listener::Session> Listener::costliest_session(Millis now, Millis min_age) const {
+std::shared_ptr<Listener::Session> Listener::costliest_session(
+    Millis now, const MemoryAccount::Eligible& eligible) const {
     std::shared_ptr<Session> costliest;
     double highest = 0;
     for (const auto& session : sessions_) {
-        const auto cost = session->memory_cost(now, min_age);
+        const auto cost = session->memory_cost(now, eligible);
         if (!cost || (costliest && *cost <= highest)) continue;
         costliest = session;
         highest = *cost;
@@ -523,13 +531,13 @@
     return costliest;
 }
 
-std::optional<double> Listener::highest_cost(Millis now, Millis min_age) const {
-    const auto session = costliest_session(now, min_age);
-    return session ? session->memory_cost(now, min_age) : std::nullopt;
+std::optional<double> Listener::highest_cost(Millis now, const MemoryAccount::Eligible& eligible) const {
+    const auto session = costliest_session(now, eligible);
+    return session ? session->memory_cost(now, eligible) : std::nullopt;
 }
 
-void Listener::release_costliest(Millis now, Millis min_age) {
-    if (const auto session = costliest_session(now, min_age)) session->release_memory();
+void Listener::release_costliest(Millis now, const MemoryAccount::Eligible& eligible) {
+    if (const auto session = costliest_session(now, eligible)) session->release_memory();
 }
 
 void Listener::add_session(tcp::socket socket) {
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -83,9 +83,9 @@
     void closed(Session& session);
     void sweep();
     bool has_room_for_body(std::size_t bytes) const;
-    std::shared_ptr<Session> costliest_session(Millis now, Millis min_age) const;
-    std::optional<double> highest_cost(Millis now, Millis min_age) const override;
-    void release_costliest(Millis now, Millis min_age) override;
+    std::shared_ptr<Session> costliest_session(Millis now, const MemoryAccount::Eligible& eligible) const;
+    std::optional<double> highest_cost(Millis now, const MemoryAccount::Eligible& eligible) const override;
+    void release_costliest(Millis now, const MemoryAccount::Eligible& eligible) override;
     std::size_t count(Usage usage) const { return counts_[static_cast<std::size_t>(usage)]; }
     // Clients hold a limited number of connections, and a request for which a client finds no free one never
     // arrives here. Therefore kept-alive connections may take at most half of the places that open requests
--- a/src/net/memory_account.cpp
+++ b/src/net/memory_account.cpp
@@ -14,8 +14,9 @@
 constexpr int kLargeBlockBytes = 256 * 1024;
 // The part of the limit that is not granted to long answers: what is charged without asking needs it.
 constexpr std::size_t kUngrantedPart = 16;
-// A client that still has something to send or to read after this time may lose it to those that wait.
-constexpr Millis kSlowAfterMs = 500;
+// Who may lose a charge to those that wait: clients that still have something to send or to read after this
+// time, and long requests.
+constexpr MemoryAccount::Eligible kForThoseThatWait{.min_age = 500, .long_requests = true};
 constexpr std::chrono::milliseconds kLineInterval{50};
 }  // namespace
 
@@ -53,24 +54,24 @@
 }
 
 void MemoryAccount::release() {
-    while (sum_->held > limit_ && release_one(0)) {
+    while (sum_->held > limit_ && release_one({})) {
     }
     release_scheduled_ = false;
 }
 
-// Releases the costliest charge of at least that age; false: there is none.
-bool MemoryAccount::release_one(Millis min_age) {
+// Releases the costliest of the eligible charges; false: there is none.
+bool MemoryAccount::release_one(const Eligible& eligible) {
     const Millis now = clock_.now();
     Holder* costliest = nullptr;
     double highest = 0;
     for (Holder* holder : holders_) {
-        const auto cost = holder->highest_cost(now, min_age);
+        const auto cost = holder->highest_cost(now, eligible);
         if (!cost || (costliest && *cost <= highest)) continue;
         costliest = holder;
         highest = *cost;
     }
     if (!costliest) return false;
-    costliest->release_costliest(now, min_age);
+    costliest->release_costliest(now, eligible);
     ++released_;
     return true;
 }
@@ -96,7 +97,7 @@
     while (!line_.empty()) {
         const auto first = line_.begin();
         if (!has_room_to_grant(first->second.bytes)) {
-            if (!release_one(kSlowAfterMs)) break;
+            if (!release_one(kForThoseThatWait)) break;
             continue;  // whose charge it was may have left the line too
         }
         const auto on_room = std::move(first->second.on_room);
--- a/src/net/memory_account.hpp
+++ b/src/net/memory_account.hpp
@@ -9,7 +9,8 @@
 //
 // Long answers are granted their bytes before they are read: one that has no room waits in line, and stays
 // with its sender meanwhile. The one with the earliest deadline is first. While it waits, the costliest of
-// the charges whose clients have been slow for a while are released for it.
+// the charges whose clients have been slow for a while are released for it, and those of long requests that
+// have yet to arrive whole: they have not run, and new ones would fill each room before an answer gets it.
 //
 // Not thread-safe: runs on the io_context's thread. Holders must not outlive their account; charges may, as
 // handlers that never ran are destroyed with the io_context.
@@ -31,15 +32,21 @@
 
 class MemoryAccount {
 public:
+    // Which charges may be released: those of at least this age, and others if they are named.
+    struct Eligible {
+        Millis min_age = 0;
+        bool long_requests = false;  // that have yet to arrive whole, whatever their age
+    };
+
     // A party whose charges can be released.
     class Holder {
     public:
         virtual ~Holder() = default;
-        // The highest cost among the charges of at least the age `min_age` (ms) that this holder can release,
-        // in bytes times milliseconds; none if there are none.
-        virtual std::optional<double> highest_cost(Millis now, Millis min_age) const = 0;
+        // The highest cost among the eligible charges that this holder can release, in bytes times
+        // milliseconds; none if there are none.
+        virtual std::optional<double> highest_cost(Millis now, const Eligible& eligible) const = 0;
         // Releases the charge with that cost.
-        virtual void release_costliest(Millis now, Millis min_age) = 0;
+        virtual void release_costliest(Millis now, const Eligible& eligible) = 0;
     };
 
     class Charge;
@@ -102,7 +109,7 @@
     std::size_t grantable() const;
     void schedule_release();
     void release();
-    bool release_one(Millis min_age);
+    bool release_one(const Eligible& eligible);
     void schedule_line();
     void advance_line();
     void start_line_timer();
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -205,13 +205,13 @@
 
 // Servers send as fast as they are read, so that an answer's age costs nothing: clients that are slow go
 // first, and they alone for an answer that waits for room.
-std::optional<double> Upstream::highest_cost(Millis, Millis min_age) const {
-    if (min_age > 0) return {};
+std::optional<double> Upstream::highest_cost(Millis, const MemoryAccount::Eligible& eligible) const {
+    if (eligible.min_age > 0) return {};
     const ConnectionPtr newest = newest_answer();
     return newest ? std::optional(static_cast<double>(newest->channel.charge.bytes())) : std::nullopt;
 }
 
-void Upstream::release_costliest(Millis, Millis) {
+void Upstream::release_costliest(Millis, const MemoryAccount::Eligible&) {
     const ConnectionPtr connection = newest_answer();
     if (!connection) return;
     log_line("upstream.answer_dropped", "the process holds too much memory: a server's answer is broken off");
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -126,8 +126,8 @@
     void leave_line(Channel& channel);
     bool is_to_be_written(const RequestPtr& request) const;
     ConnectionPtr newest_answer() const;  // the connection on which it arrives; null: none
-    std::optional<double> highest_cost(Millis now, Millis min_age) const override;
-    void release_costliest(Millis now, Millis min_age) override;
+    std::optional<double> highest_cost(Millis now, const MemoryAccount::Eligible& eligible) const override;
+    void release_costliest(Millis now, const MemoryAccount::Eligible& eligible) override;
 
     void wrote(const ConnectionPtr& connection, error_code ec, std::size_t bytes);
     void parse(const ConnectionPtr& connection);
--- a/tests/mesh/memory_account_test.cpp
+++ b/tests/mesh/memory_account_test.cpp
@@ -16,18 +16,20 @@
 public:
     explicit FakeHolder(MemoryAccount& account) : account_(account) { account_.add(*this); }
     ~FakeHolder() override { account_.remove(*this); }
-    void hold(int name, std::size_t bytes, Millis age) {
+    void hold(int name, std::size_t bytes, Millis age, bool is_long_request = false) {
         held_.erase(name);
-        held_.emplace(name, Held{MemoryAccount::Charge(&account_), age}).first->second.charge.set(bytes);
+        Held held{MemoryAccount::Charge(&account_), age, is_long_request};
+        held_.emplace(name, std::move(held)).first->second.charge.set(bytes);
     }
-    std::optional<double> highest_cost(Millis, Millis min_age) const override {
+    std::optional<double> highest_cost(Millis, const MemoryAccount::Eligible& eligible) const override {
         std::optional<double> highest;
         for (const auto& [name, held] : held_)
-            if (held.age >= min_age) highest = std::max(highest.value_or(0), cost(held));
+            if (held.age >= eligible.min_age || (eligible.long_requests && held.is_long_request))
+                highest = std::max(highest.value_or(0), cost(held));
         return highest;
     }
-    void release_costliest(Millis now, Millis min_age) override {
-        const double highest = *highest_cost(now, min_age);
+    void release_costliest(Millis now, const MemoryAccount::Eligible& eligible) override {
+        const double highest = *highest_cost(now, eligible);
         std::erase_if(held_, [&](const auto& one) {
             if (cost(one.second) < highest) return false;
             released.push_back(one.first);
@@ -40,6 +42,7 @@
     struct Held {
         MemoryAccount::Charge charge;
         Millis age;
+        bool is_long_request;
     };
     static double cost(const Held& held) { return static_cast<double>(held.charge.bytes()) * held.age; }
 
@@ -173,6 +176,19 @@
     CHECK_FALSE(other.granted);
 }
 
+// Guards against answers that wait in vain while new uploads fill each room that is made.
+TEST_CASE("memory account: long requests that are still arriving are released for those that wait") {
+    Fixture fixture;
+    FakeHolder clients(fixture.account);
+    clients.hold(1, 500, 10, true);
+    clients.hold(2, 400, 10);
+    Waiter waiter(fixture.account);
+    waiter.wait(fixture.account, 200, 10);
+    fixture.io.run_for(std::chrono::milliseconds(5));
+    CHECK(clients.released == std::vector<int>{1});
+    CHECK(waiter.granted);
+}
+
 TEST_CASE("memory account: who leaves the line is not granted anything, and holds nobody up") {
     Fixture fixture;
     MemoryAccount::Charge held(&fixture.account);
--- a/tests/processes/hostile_clients_test.cpp
+++ b/tests/processes/hostile_clients_test.cpp
@@ -138,6 +138,13 @@
     run();
 }
 
+// Uploads that come as fast as others are refused leave no room that an answer could wait for.
+TEST_F(HostileReaders, UploadsBesideLongAnswersStayWithinTheMemory) {
+    add(kOutbound, 60,
+        send_pieces(request_head("POST") + kChunkedBody, chunk_of(64 * 1024), kMaxBodyBytes - (1 << 20)));
+    run();
+}
+
 // A short line of a head is held as a field many times its size.
 TEST_F(HostileClients, HeadsOfManyShortFieldsStayWithinTheMemory) {
     add(kOutbound, 180, send_pieces(request_head("GET"), "a:\r\n", kMaxHeaderBytes - 400));
