Admission: the time that an answer waits here for room is not the server's

Once an answer waits for room, the server's time has ended with its head.

Unit test red before: with 100 such answers behind it, a server is refused a second long answer beside one at work; green after, and a server that is slow itself is still spared.

--- a/src/admission/inbound_requests.cpp
+++ b/src/admission/inbound_requests.cpp
@@ -85,6 +85,11 @@
     requests_.erase(at);
 }
 
+void InboundRequests::answer_waits(Millis now, Ticket ticket) {
+    const auto at = requests_.find(ticket);
+    if (at != requests_.end()) at->second.answered_at = now;
+}
+
 void InboundRequests::ended(Millis now, Ticket ticket, const ServerResult& end) {
     const auto at = requests_.find(ticket);
     if (at == requests_.end()) return;
@@ -92,7 +97,8 @@
     deadlines_.erase({request.deadline + kExpiryMarginMs, ticket});
     if (end.answer_bytes) answer_sizes_.record(request.kind, *end.answer_bytes);
     const bool worked = !end.failure || end.failure->execution != Execution::not_run;
-    admission_.ended(ticket, end.success && worked ? now - request.started_at : 0, worked);
+    const Millis took = request.answered_at.value_or(now) - request.started_at;
+    admission_.ended(ticket, end.success && worked ? took : 0, worked);
     forget(ticket);
     schedule_advance();
 }
--- a/src/admission/inbound_requests.hpp
+++ b/src/admission/inbound_requests.hpp
@@ -81,6 +81,9 @@
     Ticket next_ticket() { return next_ticket_++; }
     // `link`: none if the link's rate is unknown; nothing is then reserved on it.
     void arrived(Millis now, Ticket ticket, const Arrival& arrival, const std::optional<LinkState>& link);
+    // The server has begun to answer, and its answer waits in this process for room: what follows is not the
+    // server's time.
+    void answer_waits(Millis now, Ticket ticket);
     void ended(Millis now, Ticket ticket, const ServerResult& end);
     // The caller has left. Returns true if the request has been dropped; false if it has started: it is then
     // cancelled, and ended() follows.
@@ -96,6 +99,7 @@
 private:
     struct Request {
         Millis deadline = 0, started_at = 0;
+        std::optional<Millis> answered_at;  // if the answer had to wait for room
         bool started = false;
         AnswerSizes::Kind kind;
         double reserved_bytes = 0;  // on the link, until its answer is passed to it
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -243,6 +243,7 @@
 // The answer stays with its sender, whose bytes are not read: the kernel holds back more of them.
 void Upstream::wait_for_room(const ConnectionPtr& connection, std::size_t length) {
     charge_held(connection->channel);
+    if (handlers_.answer_waits) handlers_.answer_waits(connection->job->key);
     connection->channel.in_line =
         memory_->wait_for_room(length, connection->job->until, [this, connection, length] {
             connection->channel.in_line.reset();
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -54,6 +54,8 @@
     struct Handlers {
         std::function<void(AttemptKey, Outcome, HttpResponse*)> attempt_ended;
         std::function<void(ServerId, Outcome, Millis)> probe_ended;
+        // The head of a server's answer has come, and the answer waits here for room. May be empty.
+        std::function<void(AttemptKey)> answer_waits = nullptr;
     };
 
     // `memory`: of the process; null: what is held is not counted.
--- a/src/proxy/inbound.cpp
+++ b/src/proxy/inbound.cpp
@@ -58,7 +58,8 @@
                 {[this](AttemptKey key, Outcome outcome, HttpResponse* response) {
                      ended(key.id, outcome, response);
                  },
-                 [](ServerId, Outcome, Millis) {}},
+                 [](ServerId, Outcome, Millis) {},
+                 [this](AttemptKey key) { requests_.answer_waits(clock_.now(), key.id); }},
                 upstream_protocol(), memory),
       timer_(io) {}
 
