--- a/src/lab/soak_operator.cpp
+++ b/src/lab/soak_operator.cpp
@@ -69,7 +69,9 @@
 
 awaitable<void> SoakOperator::change_until(std::shared_ptr<const bool> stopped) {
     while (!*stopped) {
+        changing_ = true;
         co_await change_once();
+        changing_ = false;
         co_await pause(io_, kMinChangePauseMs + (kMaxChangePauseMs - kMinChangePauseMs) * random_.unit());
     }
 }
@@ -89,6 +91,8 @@
 }
 
 awaitable<void> SoakOperator::read_back() {
+    // A change that is still under way may be acknowledged between an answer and its comparison.
+    while (changing_) co_await pause(io_, kRetryAfterMs);
     for (const tcp::endpoint& control : controls_) {
         const std::string found = co_await read_from(control);
         if (found.find("\"" + name_of(version_) + "\"") != std::string::npos) continue;
--- a/src/lab/soak_operator.hpp
+++ b/src/lab/soak_operator.hpp
@@ -43,6 +43,7 @@
     const std::vector<tcp::endpoint> controls_;
     const SoakConfigurationLimits limits_;
     std::uint64_t version_ = 0, acknowledged_ = 0;
+    bool changing_ = false;  // in change_until(), a change has been sent and is not acknowledged yet
 };
 
 }  // namespace cobaltshift::lab
